--- /dev/null
+++ b/cmake/chestnutstand.cmake
@@ -0,0 +1,24 @@
+include(GoogleTest)
+
+# Compiler flags shared by all code written here; generated code is built without them.
+add_library(chestnutstand_options INTERFACE)
+target_compile_options(chestnutstand_options INTERFACE -Wall -Wextra -Wpedantic -Werror)
+target_include_directories(chestnutstand_options INTERFACE ${CMAKE_SOURCE_DIR}/include)
+
+# chestnutstand_add_module(NAME sources... [DEPENDS targets...])
+# Modules are object libraries, because a linker drops self-registering objects from archives.
+function(chestnutstand_add_module name)
+  cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
+  add_library(cs_${name} OBJECT ${ARG_UNPARSED_ARGUMENTS})
+  target_link_libraries(cs_${name} PUBLIC chestnutstand_options ${ARG_DEPENDS})
+endfunction()
+
+# chestnutstand_add_unittest(NAME sources... [DEPENDS targets...])
+function(chestnutstand_add_unittest name)
+  cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
+  add_executable(${name} ${ARG_UNPARSED_ARGUMENTS})
+  target_link_libraries(${name} PRIVATE chestnutstand_options ${ARG_DEPENDS} GTest::gmock
+                                        GTest::gtest_main)
+  gtest_discover_tests(${name} DISCOVERY_MODE PRE_TEST
+                       PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261204" TIMEOUT 300)
+endfunction()
--- /dev/null
+++ b/include/chestnutstand/support/reason.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include "chestnutstand/support/name_table.h"
+
+#include <cstdint>
+#include <string_view>
+
+namespace chestnutstand {
+
+/// What is known of a call once it has been answered.
+enum class outcome : std::uint8_t {
+    completed, ///< The upstream ran the call and its whole answer is here.
+    not_run,   ///< No upstream has run the call.
+    unknown,   ///< The call may or may not have run.
+};
+
+inline constexpr name_table<outcome, 3> outcome_names{{"completed", "not-run", "unknown"}};
+
+/// Why a call was refused, retried or left without an answer. The names appear in answers, logs and
+/// counters.
+enum class reason : std::uint8_t {
+    none,
+    // Input.
+    malformed_request,
+    unknown_service,
+    unknown_priority,
+    malformed_deadline,
+    malformed_key,
+    key_required,
+    key_reused,
+    body_too_large,
+    headers_too_large,
+    depth_exceeded,
+    // Refused before the call ran.
+    no_configuration,
+    no_upstream,
+    no_route,
+    draining,
+    queue_full,
+    queue_timeout,
+    deadline_unmeetable,
+    deadline_exceeded,
+    upstream_refused,
+    upstream_unreachable,
+    wrong_instance,
+    key_fenced,
+    key_expired,
+    stale_key,
+    key_table_full,
+    peer_unreachable,
+    retry_budget_exhausted,
+    caller_gone,
+    // The call may have run.
+    upstream_timeout,
+    upstream_connection_lost,
+    upstream_answer_truncated,
+    upstream_answer_mismatched,
+    upstream_answer_unframed,
+    upstream_answer_too_large,
+    peer_connection_lost,
+    executor_gone,
+    owner_unreachable,
+    key_running,
+    internal,
+};
+
+inline constexpr std::size_t reason_count = static_cast<std::size_t>(reason::internal) + 1;
+
+inline constexpr name_table<reason, reason_count> reason_names{{
+    "none",
+    "malformed_request",
+    "unknown_service",
+    "unknown_priority",
+    "malformed_deadline",
+    "malformed_key",
+    "key_required",
+    "key_reused",
+    "body_too_large",
+    "headers_too_large",
+    "depth_exceeded",
+    "no_configuration",
+    "no_upstream",
+    "no_route",
+    "draining",
+    "queue_full",
+    "queue_timeout",
+    "deadline_unmeetable",
+    "deadline_exceeded",
+    "upstream_refused",
+    "upstream_unreachable",
+    "wrong_instance",
+    "key_fenced",
+    "key_expired",
+    "stale_key",
+    "key_table_full",
+    "peer_unreachable",
+    "retry_budget_exhausted",
+    "caller_gone",
+    "upstream_timeout",
+    "upstream_connection_lost",
+    "upstream_answer_truncated",
+    "upstream_answer_mismatched",
+    "upstream_answer_unframed",
+    "upstream_answer_too_large",
+    "peer_connection_lost",
+    "executor_gone",
+    "owner_unreachable",
+    "key_running",
+    "internal",
+}};
+
+/// Name of a reason as it appears in answers, logs and counters.
+constexpr std::string_view to_string(reason value)
+{
+    return reason_names.name(value);
+}
+
+/// Name of an outcome as it appears in answers and logs.
+constexpr std::string_view to_string(outcome value)
+{
+    return outcome_names.name(value);
+}
+
+} // namespace chestnutstand
--- /dev/null
+++ b/include/chestnutstand/transport/call.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "chestnutstand/support/clock.h"
+#include "chestnutstand/support/reason.h"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace chestnutstand {
+
+struct http_header {
+    std::string name;
+    std::string value;
+};
+
+struct http_request {
+    std::string method;
+    /// Path and query, without the service prefix.
+    std::string target;
+    /// Without hop-by-hop headers.
+    std::vector<http_header> headers;
+    std::string body;
+};
+
+struct http_response {
+    int status = 0;
+    /// Without hop-by-hop headers.
+    std::vector<http_header> headers;
+    std::string body;
+};
+
+/// A call as it travels from ingress to the upstream.
+struct call {
+    std::string service;
+    std::string priority;
+    time_point deadline;
+    std::uint32_t depth = 0;
+    /// Attempts left for the whole call tree below this call.
+    std::uint32_t retry_budget = 0;
+    /// Empty for a call without a key.
+    std::string idempotency_key;
+    /// Unique per attempt; the upstream echoes it.
+    std::string request_id;
+    http_request request;
+};
+
+struct queue_length {
+    std::string priority;
+    std::uint32_t length = 0;
+};
+
+/// Load of a node's upstream as the node itself knows it.
+struct load_report {
+    std::uint64_t instance = 0;
+    std::uint32_t in_flight = 0;
+    std::uint32_t limit = 0;
+    std::vector<queue_length> queues;
+    milliseconds latency{0};
+    bool draining = false;
+    bool upstream_registered = false;
+};
+
+/// How a call ended.
+struct call_result {
+    chestnutstand::outcome outcome = outcome::unknown;
+    reason why = reason::internal;
+    /// Set when the outcome is completed.
+    http_response response;
+    /// Load of the executor, when the result came from one.
+    std::optional<load_report> load;
+};
+
+using call_done = std::function<void(call_result)>;
+
+inline call_result not_run(reason why)
+{
+    return {outcome::not_run, why, {}, {}};
+}
+inline call_result unknown_outcome(reason why)
+{
+    return {outcome::unknown, why, {}, {}};
+}
+
+} // namespace chestnutstand
--- /dev/null
+++ b/include/chestnutstand/transport/http_client.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "chestnutstand/transport/call.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace chestnutstand {
+
+/// Why an HTTP exchange gave no whole response.
+enum class http_error : std::uint8_t {
+    none,
+    connect_failed,  ///< No byte of the request was sent.
+    timed_out,       ///< The request may have been received.
+    connection_lost, ///< The request may have been received.
+    truncated,       ///< The response was shorter than announced.
+    unframed,        ///< The response had neither a length nor chunked framing.
+    too_large,       ///< The response exceeded the size limit.
+    cancelled,
+};
+
+struct http_result {
+    http_error error = http_error::none;
+    http_response response;
+    milliseconds elapsed{0};
+};
+
+/// Sends HTTP requests. Each callback runs exactly once, on the client's own thread.
+class http_client {
+public:
+    using request_id = std::uint64_t;
+    using http_done = std::function<void(http_result)>;
+
+    http_client() = default;
+    http_client(const http_client&) = delete;
+    http_client& operator=(const http_client&) = delete;
+    virtual ~http_client() = default;
+
+    /// base_url is http://ip:port; the request's target is appended to it.
+    virtual request_id send(const std::string& base_url, http_request request, milliseconds timeout,
+                            http_done done) = 0;
+
+    /// Closes the connection of a running request; its callback gets http_error::cancelled.
+    virtual void cancel(request_id id) = 0;
+};
+
+/// Client over libcurl's multi interface with one thread and pooled connections.
+std::unique_ptr<http_client> make_http_client();
+
+} // namespace chestnutstand
--- /dev/null
+++ b/unittests/support/metrics_test.cpp
@@ -0,0 +1,26 @@
+#include "chestnutstand/support/metrics.h"
+
+#include <gtest/gtest.h>
+
+namespace chestnutstand {
+namespace {
+
+// Guards against a reason that is counted but missing from the metrics endpoint.
+TEST(metrics, renders_every_reason_and_histogram)
+{
+    metrics all;
+    all.count(reason_event::refused, reason::queue_full);
+    all.call_latency("ledger", "urgent").record(milliseconds{1.5});
+    const auto text = all.render();
+    EXPECT_NE(text.find("chestnutstand_refusals_total{reason=\"queue_full\"} 1\n"),
+              std::string::npos);
+    EXPECT_NE(text.find("chestnutstand_retries_total{reason=\"queue_full\"} 0\n"),
+              std::string::npos);
+    EXPECT_NE(
+        text.find("chestnutstand_call_latency_ms_count{service=\"ledger\",priority=\"urgent\"} "
+                  "1\n"),
+        std::string::npos);
+}
+
+} // namespace
+} // namespace chestnutstand
