Add transport adapters, node components and stub processes

Pistache serves HTTP, libcurl sends it, gRPC connects nodes. libcurl repeats a request on its own when a pooled connection closes without a response; a pre-request callback aborts the second start, since the upstream may have run the first. Pistache 0.0.5 writes only typed response headers and announces Connection: close without closing; the adapter works around both. It also loses pipelined requests and the order of query parameters, which is open.

--- /dev/null
+++ b/include/chestnutstand/node/problem.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "chestnutstand/transport/call.h"
+
+#include <string>
+#include <string_view>
+
+namespace chestnutstand {
+
+/// HTTP status that a caller gets for an outcome and its reason.
+int status_of(outcome how, reason why);
+
+/// Problem document (RFC 9457) with the headers that state outcome and reason.
+http_response make_problem(outcome how, reason why, std::string_view detail = {});
+
+/// The response a caller gets for the result of its call.
+http_response make_response(call_result result);
+
+} // namespace chestnutstand
--- /dev/null
+++ b/include/chestnutstand/node/upstream_exchange.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "chestnutstand/transport/http_client.h"
+
+namespace chestnutstand {
+
+/// The request that is sent to the upstream for a call.
+http_request make_upstream_request(const call& what);
+
+/// Time that the upstream gets for a call. A keyed call that has started runs to its end, so that
+/// its outcome does not become unknown when its deadline passes.
+milliseconds upstream_timeout(const call& what, time_point now);
+
+/// What the upstream's response, or the lack of one, says about the call.
+call_result judge_upstream_response(const call& what, http_result result);
+
+} // namespace chestnutstand
--- a/include/chestnutstand/transport/call.h
+++ b/include/chestnutstand/transport/call.h
@@ -2,9 +2,11 @@
 
 #include "chestnutstand/support/clock.h"
 #include "chestnutstand/support/reason.h"
+#include "chestnutstand/transport/cancellation.h"
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -23,6 +25,8 @@
     /// Without hop-by-hop headers.
     std::vector<http_header> headers;
     std::string body;
+    /// Forbids a pooled connection, which may have gone silent since its last use.
+    bool fresh_connection = false;
 };
 
 struct http_response {
@@ -45,6 +49,8 @@
     /// Unique per attempt; the upstream echoes it.
     std::string request_id;
     http_request request;
+    /// Null when the call cannot be cancelled.
+    std::shared_ptr<cancellation> cancel;
 };
 
 struct queue_length {
--- /dev/null
+++ b/include/chestnutstand/transport/headers.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "chestnutstand/transport/call.h"
+
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace chestnutstand {
+
+/// Headers of the interfaces to callers and upstreams.
+namespace header {
+inline constexpr std::string_view priority = "Chestnut-Priority";
+inline constexpr std::string_view timeout_ms = "Chestnut-Timeout-Ms";
+inline constexpr std::string_view depth = "Chestnut-Depth";
+inline constexpr std::string_view retry_budget = "Chestnut-Retry-Budget";
+inline constexpr std::string_view request_id = "Chestnut-Request-Id";
+inline constexpr std::string_view outcome = "Chestnut-Outcome";
+inline constexpr std::string_view reason = "Chestnut-Reason";
+inline constexpr std::string_view not_run = "Chestnut-Not-Run";
+inline constexpr std::string_view idempotency_key = "Idempotency-Key";
+} // namespace header
+
+/// Compares header names without regard to case.
+bool header_name_equal(std::string_view left, std::string_view right);
+
+/// Value of the first header with that name.
+std::optional<std::string_view> find_header(const std::vector<http_header>& headers,
+                                            std::string_view name);
+
+/// Removes the headers that concern one connection only (RFC 9110, 7.6.1), those that the
+/// Connection header names, and the message framing that the next hop sets itself.
+void remove_hop_by_hop_headers(std::vector<http_header>& headers);
+
+/// Removes the headers that only chestnutstand sets.
+void remove_own_headers(std::vector<http_header>& headers);
+
+} // namespace chestnutstand
--- /dev/null
+++ b/include/chestnutstand/transport/http_server.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "chestnutstand/transport/call.h"
+
+#include <absl/status/status.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace chestnutstand {
+
+/// Takes the response to one request.
+class responder {
+public:
+    responder() = default;
+    responder(const responder&) = delete;
+    responder& operator=(const responder&) = delete;
+    virtual ~responder() = default;
+
+    /// Sends the response; only the first one counts. Callable from any thread.
+    virtual void send(http_response response) = 0;
+
+    /// Cancelled when the client has gone before the response was sent.
+    virtual std::shared_ptr<cancellation> disconnected() const = 0;
+};
+
+struct http_server_options {
+    std::string address = "127.0.0.1";
+    /// 0 means assigned by the kernel.
+    std::uint16_t port = 0;
+    std::uint32_t threads = 1;
+    std::size_t max_body_bytes = std::size_t{1} << 20U;
+    std::size_t max_header_bytes = std::size_t{16} << 10U;
+    /// A client that has not sent its whole request by then is refused.
+    milliseconds request_timeout{10'000};
+};
+
+/// HTTP/1.1 server. Responses on one connection are sent in the order of its requests.
+class http_server {
+public:
+    using handler = std::function<void(http_request, std::shared_ptr<responder>)>;
+
+    http_server(http_server_options options, handler handle);
+    http_server(const http_server&) = delete;
+    http_server& operator=(const http_server&) = delete;
+    ~http_server();
+
+    absl::Status start();
+    std::uint16_t port() const;
+
+    /// Closes the listening socket and all connections. Idempotent.
+    void stop();
+
+private:
+    struct state;
+    std::unique_ptr<state> state_;
+};
+
+} // namespace chestnutstand
--- /dev/null
+++ b/lib/node/admin_api.cpp
@@ -0,0 +1,235 @@
+#include "chestnutstand/node/admin_api.h"
+
+#include "chestnutstand/config/config_service.h"
+#include "chestnutstand/membership/membership.h"
+#include "chestnutstand/node/executor.h"
+#include "chestnutstand/node/upstream_registry.h"
+
+#include <absl/strings/str_cat.h>
+#include <nlohmann/json.hpp>
+
+#include <csignal>
+#include <optional>
+#include <string_view>
+#include <unistd.h>
+#include <utility>
+
+namespace chestnutstand {
+namespace {
+
+using json = nlohmann::ordered_json;
+
+constexpr std::uint32_t max_slots = 100'000;
+constexpr name_table<liveness, 4> liveness_names{{"alive", "suspect", "dead", "left"}};
+
+http_response json_response(int status, const json& body)
+{
+    return {status,
+            {{"Content-Type", "application/json"}},
+            body.dump(-1, ' ', false, json::error_handler_t::replace) + "\n"};
+}
+
+http_response error_response(int status, std::string_view message)
+{
+    return json_response(status, json{{"error", message}});
+}
+
+/// The parsed body, or a discarded value when it is not a JSON object.
+json parse_object(const std::string& body)
+{
+    json parsed = json::parse(body, nullptr, /*allow_exceptions=*/false);
+    return parsed.is_object() ? parsed : json(json::value_t::discarded);
+}
+
+std::optional<std::string> text_member(const json& object, const char* key)
+{
+    const auto found = object.find(key);
+    if (found == object.end() || !found->is_string()) {
+        return std::nullopt;
+    }
+    return found->get<std::string>();
+}
+
+std::optional<std::uint64_t> number_member(const json& object, const char* key)
+{
+    const auto found = object.find(key);
+    if (found == object.end() || !found->is_number_unsigned()) {
+        return std::nullopt;
+    }
+    return found->get<std::uint64_t>();
+}
+
+std::optional<local_upstream> read_upstream(const std::string& body)
+{
+    const json parsed = parse_object(body);
+    if (parsed.is_discarded()) {
+        return std::nullopt;
+    }
+    const auto service = text_member(parsed, "service");
+    const auto address = text_member(parsed, "address");
+    const auto slots = number_member(parsed, "slots");
+    if (!service || service->empty() || !address || !slots || *slots == 0 || *slots > max_slots) {
+        return std::nullopt;
+    }
+    return local_upstream{*service, "http://" + *address, static_cast<std::uint32_t>(*slots)};
+}
+
+json describe(const member& each)
+{
+    return {{"instance", absl::StrCat(absl::Hex(each.node.instance))},
+            {"address", each.node.address},
+            {"node_port", each.node.node_port},
+            {"data_centre", each.data_centre},
+            {"service", each.service},
+            {"state", liveness_names.name(each.state)},
+            {"draining", each.draining}};
+}
+
+json describe(const load_report& load)
+{
+    json queues = json::object();
+    for (const auto& queue : load.queues) {
+        queues[queue.priority] = queue.length;
+    }
+    return {{"in_flight", load.in_flight},
+            {"limit", load.limit},
+            {"latency_ms", load.latency.count()},
+            {"queues", queues}};
+}
+
+} // namespace
+
+admin_api::admin_api(kernel& node) : node_{node} {}
+
+void admin_api::handle(const http_request& request, const std::shared_ptr<responder>& response)
+{
+    const std::string route = request.method + " " + request.target;
+    if (route == "POST /register") {
+        register_upstream(request, response);
+    }
+    else if (route == "POST /deregister") {
+        deregister_upstream(response);
+    }
+    else if (route == "GET /metrics") {
+        response->send(
+            {200, {{"Content-Type", "text/plain; version=0.0.4"}}, node_.stats().render()});
+    }
+    else if (route == "GET /health") {
+        const bool ready = !node_.draining();
+        response->send(json_response(ready ? 200 : 503, {{"status", ready ? "ok" : "draining"}}));
+    }
+    else if (route == "GET /status") {
+        status(response);
+    }
+    else if (route == "GET /config") {
+        show_config(response);
+    }
+    else if (route == "POST /config/changes") {
+        publish_change(request, response);
+    }
+    else if (route == "POST /drain") {
+        response->send(json_response(202, {{"status", "draining"}}));
+        ::kill(::getpid(), SIGTERM);
+    }
+    else {
+        response->send(error_response(404, "no such endpoint"));
+    }
+}
+
+void admin_api::register_upstream(const http_request& request,
+                                  const std::shared_ptr<responder>& response)
+{
+    auto upstream = read_upstream(request.body);
+    if (!upstream) {
+        response->send(error_response(
+            400, "expected {\"service\": name, \"address\": ip:port, \"slots\": 1..100000}"));
+        return;
+    }
+    node_.control().post([this, response, upstream = std::move(*upstream)]() mutable {
+        node_.get<upstream_registry>().announce(std::move(upstream), ms_clock::now());
+        response->send(json_response(200, {{"status", "registered"}}));
+    });
+}
+
+void admin_api::deregister_upstream(const std::shared_ptr<responder>& response)
+{
+    node_.control().post([this, response] {
+        node_.get<upstream_registry>().withdraw();
+        response->send(json_response(200, {{"status", "deregistered"}}));
+    });
+}
+
+void admin_api::status(const std::shared_ptr<responder>& response)
+{
+    node_.control().post([this, response] {
+        const auto& own_ports = node_.ports();
+        json body{{"instance", absl::StrCat(absl::Hex(node_.instance()))},
+                  {"data_centre", node_.config().data_centre},
+                  {"draining", node_.draining()},
+                  {"ports",
+                   {{"caller", own_ports.caller},
+                    {"admin", own_ports.admin},
+                    {"node", own_ports.node},
+                    {"gossip", own_ports.gossip}}}};
+        const auto in_force = node_.get<config_service>().current().load();
+        body["config_version"] = in_force ? json(in_force->version) : json(nullptr);
+        const auto upstream = node_.get<executor>().upstream();
+        body["upstream"] = upstream ? json{{"service", upstream->service},
+                                           {"url", upstream->base_url},
+                                           {"slots", upstream->slots}}
+                                    : json(nullptr);
+        body["load"] = describe(node_.get<executor>().report());
+        body["members"] = json::array();
+        for (const auto& each : node_.get<membership>().members()) {
+            body["members"].push_back(describe(each));
+        }
+        response->send(json_response(200, body));
+    });
+}
+
+void admin_api::show_config(const std::shared_ptr<responder>& response)
+{
+    node_.control().post([this, response] {
+        const config_state state = node_.get<config_service>().state();
+        json sections = json::array();
+        for (const auto& each : state.sections) {
+            sections.push_back({{"section", each.name},
+                                {"owner", each.owner},
+                                {"version", each.version},
+                                {"content", each.content}});
+        }
+        response->send(
+            json_response(200, {{"version", state.version}, {"sections", std::move(sections)}}));
+    });
+}
+
+void admin_api::publish_change(const http_request& request,
+                               const std::shared_ptr<responder>& response)
+{
+    const json parsed = parse_object(request.body);
+    const auto id = parsed.is_discarded() ? std::nullopt : text_member(parsed, "change_id");
+    const auto team = parsed.is_discarded() ? std::nullopt : text_member(parsed, "team");
+    const auto section = parsed.is_discarded() ? std::nullopt : text_member(parsed, "section");
+    const auto base = parsed.is_discarded() ? std::nullopt : number_member(parsed, "base_version");
+    const auto content = parsed.is_discarded() ? std::nullopt : text_member(parsed, "content");
+    if (!id || !team || !section || !base || !content) {
+        response->send(
+            error_response(400, "expected change_id, team, section, base_version and content"));
+        return;
+    }
+    section_change change{*id, *team, *section, *base, *content};
+    node_.control().post([this, response, change = std::move(change)]() mutable {
+        node_.get<config_service>().publish(
+            std::move(change), [response](const absl::StatusOr<publish_verdict>& verdict) {
+                if (!verdict.ok()) {
+                    response->send(error_response(503, std::string{verdict.status().message()}));
+                    return;
+                }
+                response->send(json_response(200, {{"accepted", verdict->accepted},
+                                                   {"version", verdict->version},
+                                                   {"explanation", verdict->explanation}}));
+            });
+    });
+}
+
+} // namespace chestnutstand
--- /dev/null
+++ b/lib/node/call_parser.cpp
@@ -0,0 +1,128 @@
+#include "chestnutstand/node/call_parser.h"
+
+#include "chestnutstand/transport/headers.h"
+
+#include <charconv>
+#include <optional>
+#include <string_view>
+#include <utility>
+
+namespace chestnutstand {
+namespace {
+
+constexpr std::string_view call_prefix = "/call/";
+/// Default timeout as a multiple of the class's latency target.
+constexpr double default_timeout_factor = 10.0;
+
+/// Number in a header; the fallback when the header is absent, nothing when it is malformed.
+std::optional<std::uint32_t> read_number(const http_request& request, std::string_view name,
+                                         std::uint32_t fallback)
+{
+    const auto text = find_header(request.headers, name);
+    if (!text) {
+        return fallback;
+    }
+    std::uint32_t number = 0;
+    const char* end = text->data() + text->size();
+    const auto [parsed_end, error] = std::from_chars(text->data(), end, number);
+    if (error != std::errc{} || parsed_end != end) {
+        return std::nullopt;
+    }
+    return number;
+}
+
+/// Splits /call/{service}/{path...}; the path keeps its leading slash and its query.
+bool split_target(std::string_view target, call& result)
+{
+    if (target.rfind(call_prefix, 0) != 0) {
+        return false;
+    }
+    target.remove_prefix(call_prefix.size());
+    const auto end = target.find_first_of("/?");
+    result.service = std::string{target.substr(0, end)};
+    std::string path{end == std::string_view::npos ? std::string_view{} : target.substr(end)};
+    result.request.target = path.empty() || path.front() != '/' ? "/" + path : path;
+    return !result.service.empty();
+}
+
+std::optional<refusal> read_deadline(const http_request& request, milliseconds fallback,
+                                     time_point now, call& result)
+{
+    if (!find_header(request.headers, header::timeout_ms)) {
+        result.deadline = now + fallback;
+        return std::nullopt;
+    }
+    const auto timeout = read_number(request, header::timeout_ms, 0);
+    if (!timeout || *timeout == 0 || milliseconds{static_cast<double>(*timeout)} > max_timeout) {
+        return refusal{reason::malformed_deadline,
+                       "Chestnut-Timeout-Ms must be an integer from 1 to 600000"};
+    }
+    result.deadline = now + milliseconds{static_cast<double>(*timeout)};
+    return std::nullopt;
+}
+
+std::optional<refusal> read_tree_limits(const http_request& request, call& result)
+{
+    const auto depth = read_number(request, header::depth, 0);
+    if (!depth || *depth > max_depth) {
+        return refusal{reason::depth_exceeded, "Chestnut-Depth must be an integer from 0 to 25"};
+    }
+    const auto budget = read_number(request, header::retry_budget, default_retry_budget);
+    if (!budget) {
+        return refusal{reason::malformed_request,
+                       "Chestnut-Retry-Budget must be a non-negative integer"};
+    }
+    result.depth = *depth;
+    result.retry_budget = *budget;
+    return std::nullopt;
+}
+
+} // namespace
+
+std::variant<call, refusal> parse_call(const http_request& request, const document* in_force,
+                                       time_point now)
+{
+    call result;
+    result.request.method = request.method;
+    if (!split_target(request.target, result)) {
+        return refusal{reason::malformed_request, "the path must be /call/{service}/{path}"};
+    }
+    if (in_force == nullptr) {
+        return refusal{reason::no_configuration, "this node has no configuration yet"};
+    }
+    const service_config* service = in_force->find_service(result.service);
+    if (service == nullptr || service->priorities.empty()) {
+        return refusal{reason::unknown_service, "no service is named " + result.service};
+    }
+    const auto wanted = find_header(request.headers, header::priority);
+    const priority_config* priority =
+        wanted ? service->find_priority(*wanted) : &service->priorities.front();
+    if (priority == nullptr) {
+        return refusal{reason::unknown_priority, "service " + result.service +
+                                                     " has no priority class " +
+                                                     std::string{*wanted}};
+    }
+    result.priority = priority->name;
+    if (auto refused = read_deadline(request, priority->latency_target * default_timeout_factor,
+                                     now, result)) {
+        return *refused;
+    }
+    if (auto refused = read_tree_limits(request, result)) {
+        return *refused;
+    }
+    if (const auto key = find_header(request.headers, header::idempotency_key)) {
+        result.idempotency_key = std::string{*key};
+    }
+    if (result.idempotency_key.empty() && !priority->idempotent) {
+        return refusal{reason::key_required,
+                       "this priority class is not idempotent; get a key from POST /keys/" +
+                           result.service};
+    }
+    result.request.headers = request.headers;
+    remove_hop_by_hop_headers(result.request.headers);
+    remove_own_headers(result.request.headers);
+    result.request.body = request.body;
+    return result;
+}
+
+} // namespace chestnutstand
--- /dev/null
+++ b/lib/node/components/executor_component.cpp
@@ -0,0 +1,45 @@
+#include "chestnutstand/membership/membership.h"
+#include "chestnutstand/node/executor.h"
+#include "chestnutstand/node/kernel.h"
+#include "chestnutstand/node/upstream_registry.h"
+
+#include <memory>
+#include <optional>
+
+namespace chestnutstand {
+namespace {
+
+constexpr milliseconds lease_check_interval{500};
+
+/// Provides the executor and the lease of the local upstream.
+class executor_component final : public component {
+public:
+    absl::Status start(kernel& node) override
+    {
+        executor_ = std::make_unique<executor>(node.instance(), node.http(), node.stats());
+        registry_ = std::make_unique<upstream_registry>(
+            [this, &node](const std::optional<local_upstream>& upstream) {
+                executor_->set_upstream(upstream);
+                if (auto* members = node.find<membership>()) {
+                    members->set_local_upstream(upstream ? upstream->service : "",
+                                                upstream ? upstream->slots : 0);
+                }
+            });
+        node.provide(*executor_);
+        node.provide(*registry_);
+        node.control().repeat(lease_check_interval, [this] { registry_->expire(ms_clock::now()); });
+        return absl::OkStatus();
+    }
+
+    void begin_drain(kernel& /*node*/) override { executor_->begin_drain(); }
+    bool idle() const override { return executor_->idle(); }
+
+private:
+    std::unique_ptr<executor> executor_;
+    std::unique_ptr<upstream_registry> registry_;
+};
+
+const registration<executor_component, component> registered{"executor"};
+
+} // namespace
+} // namespace chestnutstand
--- /dev/null
+++ b/lib/node/components/membership_component.cpp
@@ -0,0 +1,70 @@
+#include "chestnutstand/config/config_service.h"
+#include "chestnutstand/membership/membership.h"
+#include "chestnutstand/node/kernel.h"
+
+#include <future>
+#include <memory>
+
+namespace chestnutstand {
+namespace {
+
+/// Joins the other nodes and connects gossip with the configuration.
+class membership_component final : public component {
+public:
+    std::vector<std::string_view> dependencies() const override
+    {
+        return {"log", "config", "node_endpoint"};
+    }
+
+    absl::Status start(kernel& node) override
+    {
+        membership_options options;
+        options.self.node = {node.instance(), node.config().address, node.ports().node};
+        options.self.gossip_port = node.config().gossip_port;
+        options.self.data_centre = node.config().data_centre;
+        options.seeds = node.config().seeds;
+        options.random_seed = node.instance();
+        members_ = std::make_unique<membership>(options, node.control(), node.get<log_client>(),
+                                                node.peers());
+        std::promise<absl::Status> started;
+        node.control().post([&] {
+            connect_configuration(node);
+            started.set_value(members_->start());
+        });
+        absl::Status status = started.get_future().get();
+        node.ports().gossip = members_->gossip_port();
+        node.provide(*members_);
+        return status;
+    }
+
+    void begin_drain(kernel& node) override
+    {
+        node.control().post([this] { members_->set_draining(); });
+    }
+
+    void stop(kernel& node) override
+    {
+        std::promise<void> left;
+        node.control().post([&] {
+            members_->leave();
+            left.set_value();
+        });
+        left.get_future().wait();
+    }
+
+private:
+    void connect_configuration(kernel& node)
+    {
+        auto& config = node.get<config_service>();
+        config.on_advance([this](std::uint64_t next) { members_->set_config_next_offset(next); });
+        members_->on_config_hint(
+            [&config](const node_reference& peer, std::uint64_t next) { config.hint(peer, next); });
+    }
+
+    std::unique_ptr<membership> members_;
+};
+
+const registration<membership_component, component> registered{"membership"};
+
+} // namespace
+} // namespace chestnutstand
--- /dev/null
+++ b/lib/node/components/node_endpoint_component.cpp
@@ -0,0 +1,92 @@
+#include "chestnutstand/config/config_service.h"
+#include "chestnutstand/membership/membership.h"
+#include "chestnutstand/node/executor.h"
+#include "chestnutstand/node/kernel.h"
+#include "chestnutstand/transport/node_server.h"
+
+#include <memory>
+#include <utility>
+
+namespace chestnutstand {
+namespace {
+
+constexpr milliseconds stop_limit{1'000};
+
+/// Hands calls from other nodes to the components of this node.
+class local_node_handler final : public node_handler {
+public:
+    explicit local_node_handler(kernel& node) : node_{node}, executor_{node.get<executor>()} {}
+
+    void execute(std::uint64_t target_instance, call what, call_done done) override
+    {
+        executor_.execute(target_instance, std::move(what), std::move(done));
+    }
+
+    void forward(std::uint64_t /*target_instance*/, call /*what*/, bool /*query_only*/,
+                 call_done done) override
+    {
+        done(unknown_outcome(reason::owner_unreachable));
+    }
+
+    settle_result settle(std::uint64_t target_instance, const std::string& /*key*/) override
+    {
+        return {target_instance == node_.instance() ? settle_state::unknown
+                                                    : settle_state::wrong_instance,
+                {}};
+    }
+
+    load_report probe() override { return executor_.report(); }
+
+    void fetch_changes(std::uint64_t from_offset, peer_client::changes_done done) override
+    {
+        node_.control().post([this, from_offset, done = std::move(done)] {
+            done(node_.get<config_service>().handle_fetch(from_offset));
+        });
+    }
+
+    void sync_members(std::vector<std::string> theirs, peer_client::members_done done) override
+    {
+        node_.control().post([this, theirs = std::move(theirs), done = std::move(done)]() mutable {
+            auto* members = node_.find<membership>();
+            if (members == nullptr) {
+                done(absl::UnavailableError("membership has not started"));
+                return;
+            }
+            members->handle_sync(std::move(theirs), std::move(done));
+        });
+    }
+
+private:
+    kernel& node_;
+    executor& executor_;
+};
+
+/// Serves other nodes over gRPC.
+class node_endpoint_component final : public component {
+public:
+    std::vector<std::string_view> dependencies() const override { return {"config", "executor"}; }
+
+    absl::Status start(kernel& node) override
+    {
+        handler_ = std::make_unique<local_node_handler>(node);
+        server_ = std::make_unique<node_server>(node.config().address, node.config().node_port,
+                                                *handler_);
+        node.provide(*server_);
+        const absl::Status status = server_->start();
+        if (status.ok()) {
+            node.ports().node = server_->port();
+        }
+        return status;
+    }
+
+    void stop(kernel& /*node*/) override { server_->stop(stop_limit); }
+
+private:
+    std::unique_ptr<local_node_handler> handler_;
+    std::unique_ptr<node_server> server_;
+};
+
+const registration<node_endpoint_component, component> registered{"node_endpoint"};
+
+} // namespace
+} // namespace chestnutstand
--- /dev/null
+++ b/lib/node/kernel.cpp
@@ -0,0 +1,125 @@
+#include "chestnutstand/node/kernel.h"
+
+#include "chestnutstand/support/log.h"
+#include "chestnutstand/transport/node_server.h"
+
+#include <cstdlib>
+#include <random>
+#include <utility>
+
+namespace chestnutstand {
+namespace {
+
+constexpr milliseconds idle_poll_interval{10};
+
+std::uint64_t random_instance()
+{
+    std::random_device entropy;
+    const std::uint64_t instance =
+        (static_cast<std::uint64_t>(entropy()) << 32U) | static_cast<std::uint64_t>(entropy());
+    // 0 means no instance.
+    return instance == 0 ? 1 : instance;
+}
+
+void sleep_for(milliseconds time)
+{
+    std::this_thread::sleep_for(time);
+}
+
+} // namespace
+
+void component::begin_drain(kernel& /*node*/) {}
+void component::end_lame_duck(kernel& /*node*/) {}
+void component::stop(kernel& /*node*/) {}
+
+kernel::kernel(settings own_settings)
+    : settings_{std::move(own_settings)}, instance_{random_instance()}, http_{make_http_client()},
+      peers_{make_grpc_peer_client()}
+{
+}
+
+kernel::~kernel()
+{
+    control_.stop();
+    // Clients first: their last callbacks may use components.
+    http_.reset();
+    peers_.reset();
+}
+
+void kernel::require(bool invariant)
+{
+    if (!invariant) {
+        log_event(log_level::error, "component uses an object that was not provided");
+        std::abort();
+    }
+}
+
+absl::Status kernel::start()
+{
+    for (const auto& [name, make] : registry<component>::instance().factories()) {
+        const absl::Status status = start_with_dependencies(name);
+        if (!status.ok()) {
+            return status;
+        }
+    }
+    return absl::OkStatus();
+}
+
+absl::Status kernel::start_with_dependencies(std::string_view name)
+{
+    if (components_.find(name) != components_.end()) {
+        return absl::OkStatus();
+    }
+    auto made = registry<component>::instance().make(name);
+    if (!made) {
+        return absl::InternalError("no component named " + std::string{name});
+    }
+    component& added = *made;
+    components_.emplace(name, std::move(made));
+    for (const std::string_view dependency : added.dependencies()) {
+        absl::Status status = start_with_dependencies(dependency);
+        if (!status.ok()) {
+            return status;
+        }
+    }
+    absl::Status status = added.start(*this);
+    if (status.ok()) {
+        started_.push_back(&added);
+    }
+    return status;
+}
+
+bool kernel::all_idle() const
+{
+    for (const component* each : started_) {
+        if (!each->idle()) {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool kernel::drain_and_stop()
+{
+    const time_point limit = ms_clock::now() + milliseconds{settings_.drain_limit_ms};
+    draining_ = true;
+    for (component* each : started_) {
+        each->begin_drain(*this);
+    }
+    // Peers and callers learn of the drain meanwhile.
+    sleep_for(milliseconds{settings_.lame_duck_ms});
+    for (component* each : started_) {
+        each->end_lame_duck(*this);
+    }
+    while (!all_idle() && ms_clock::now() < limit) {
+        sleep_for(idle_poll_interval);
+    }
+    const bool idle = all_idle();
+    for (auto each = started_.rbegin(); each != started_.rend(); ++each) {
+        (*each)->stop(*this);
+    }
+    control_.stop();
+    return idle;
+}
+
+} // namespace chestnutstand
--- /dev/null
+++ b/lib/transport/grpc_peer_client.cpp
@@ -0,0 +1,226 @@
+#include "chestnutstand/transport/node_server.h"
+
+#include "wire_convert.h"
+
+#include "node.grpc.pb.h"
+
+#include <grpcpp/grpcpp.h>
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+#include <mutex>
+#include <string_view>
+#include <utility>
+
+namespace chestnutstand {
+namespace {
+
+constexpr int keepalive_interval_ms = 10'000;
+constexpr int keepalive_timeout_ms = 2'000;
+constexpr int max_reconnect_backoff_ms = 1'000;
+constexpr int min_reconnect_backoff_ms = 50;
+constexpr int max_message_bytes = 16 << 20;
+// Lets the executor's own answer, for example a timeout of its upstream, arrive before the call
+// between the nodes times out.
+constexpr milliseconds reply_grace{250};
+
+std::chrono::system_clock::time_point system_deadline(milliseconds timeout)
+{
+    return std::chrono::system_clock::now() +
+           std::chrono::duration_cast<std::chrono::system_clock::duration>(
+               std::max(timeout, milliseconds{1}));
+}
+
+absl::Status to_absl(const grpc::Status& status)
+{
+    return {static_cast<absl::StatusCode>(status.error_code()), status.error_message()};
+}
+
+/// State of one call; it deletes itself when the callback has run.
+template <typename Request, typename Reply>
+struct unary_call {
+    grpc::ClientContext context;
+    Request request;
+    Reply reply;
+};
+
+class grpc_peer_client final : public peer_client {
+public:
+    void execute(const node_reference& target, const call& what, call_done done) override
+    {
+        auto state = std::make_shared<unary_call<wire::ExecuteRequest, wire::ExecuteReply>>();
+        state->request.set_target_instance(target.instance);
+        *state->request.mutable_call() = to_wire(what);
+        start_call(target, what, state, std::move(done),
+                   [](auto* stub, auto& call_state, auto on_end) {
+                       stub->async()->Execute(&call_state.context, &call_state.request,
+                                              &call_state.reply, on_end);
+                   });
+    }
+
+    void forward(const node_reference& owner, const call& what, bool query_only,
+                 call_done done) override
+    {
+        auto state = std::make_shared<unary_call<wire::ForwardRequest, wire::ExecuteReply>>();
+        state->request.set_target_instance(owner.instance);
+        state->request.set_query_only(query_only);
+        *state->request.mutable_call() = to_wire(what);
+        start_call(owner, what, state, std::move(done),
+                   [](auto* stub, auto& call_state, auto on_end) {
+                       stub->async()->Forward(&call_state.context, &call_state.request,
+                                              &call_state.reply, on_end);
+                   });
+    }
+
+    void settle(const node_reference& executor, const std::string& key, milliseconds timeout,
+                settle_done done) override
+    {
+        auto state = std::make_shared<unary_call<wire::SettleRequest, wire::SettleReply>>();
+        state->request.set_target_instance(executor.instance);
+        state->request.set_idempotency_key(key);
+        state->context.set_deadline(system_deadline(timeout));
+        stub_of(executor)->async()->Settle(
+            &state->context, &state->request, &state->reply,
+            [state, done = std::move(done)](const grpc::Status& status) {
+                if (!status.ok()) {
+                    done(to_absl(status));
+                    return;
+                }
+                done(from_wire(state->reply));
+            });
+    }
+
+    void probe(const node_reference& target, milliseconds timeout, probe_done done) override
+    {
+        auto state = std::make_shared<unary_call<wire::ProbeRequest, wire::LoadReport>>();
+        state->context.set_deadline(system_deadline(timeout));
+        stub_of(target)->async()->Probe(
+            &state->context, &state->request, &state->reply,
+            [state, done = std::move(done)](const grpc::Status& status) {
+                if (!status.ok()) {
+                    done(to_absl(status));
+                    return;
+                }
+                done(from_wire(state->reply));
+            });
+    }
+
+    void fetch_changes(const node_reference& target, std::uint64_t from_offset,
+                       milliseconds timeout, changes_done done) override
+    {
+        auto state =
+            std::make_shared<unary_call<wire::FetchChangesRequest, wire::FetchChangesReply>>();
+        state->request.set_from_offset(from_offset);
+        state->context.set_deadline(system_deadline(timeout));
+        stub_of(target)->async()->FetchChanges(
+            &state->context, &state->request, &state->reply,
+            [state, done = std::move(done)](const grpc::Status& status) {
+                if (!status.ok()) {
+                    done(to_absl(status));
+                    return;
+                }
+                done(from_wire(state->reply));
+            });
+    }
+
+    void sync_members(const node_reference& target, std::vector<std::string> members,
+                      milliseconds timeout, members_done done) override
+    {
+        auto state =
+            std::make_shared<unary_call<wire::SyncMembersMessage, wire::SyncMembersMessage>>();
+        state->request.mutable_members()->Add(members.begin(), members.end());
+        state->context.set_deadline(system_deadline(timeout));
+        stub_of(target)->async()->SyncMembers(
+            &state->context, &state->request, &state->reply,
+            [state, done = std::move(done)](const grpc::Status& status) {
+                if (!status.ok()) {
+                    done(to_absl(status));
+                    return;
+                }
+                const auto& theirs = state->reply.members();
+                done(std::vector<std::string>{theirs.begin(), theirs.end()});
+            });
+    }
+
+private:
+    using stub_ptr = std::shared_ptr<wire::NodeService::Stub>;
+
+    stub_ptr stub_of(const node_reference& target);
+
+    template <typename State, typename Start>
+    void start_call(const node_reference& target, const call& what, std::shared_ptr<State> state,
+                    call_done done, Start start);
+
+    std::mutex mutex_;
+    /// By instance, so that a new process at an old address gets its own connection.
+    std::map<std::uint64_t, stub_ptr> stubs_;
+};
+
+grpc_peer_client::stub_ptr grpc_peer_client::stub_of(const node_reference& target)
+{
+    const std::lock_guard lock{mutex_};
+    auto& stub = stubs_[target.instance];
+    if (stub) {
+        return stub;
+    }
+    grpc::ChannelArguments arguments;
+    arguments.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, keepalive_interval_ms);
+    arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, keepalive_timeout_ms);
+    arguments.SetInt(GRPC_ARG_HTTP2_MAX_PINGS_WITHOUT_DATA, 0);
+    arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, min_reconnect_backoff_ms);
+    arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, max_reconnect_backoff_ms);
+    arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, max_reconnect_backoff_ms);
+    arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
+    arguments.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
+    arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+    arguments.SetMaxReceiveMessageSize(max_message_bytes);
+    const std::string endpoint = target.address + ":" + std::to_string(target.node_port);
+    stub = wire::NodeService::NewStub(
+        grpc::CreateCustomChannel(endpoint, grpc::InsecureChannelCredentials(), arguments));
+    return stub;
+}
+
+// gRPC gives this message only when no connection existed to send the request on. With any other
+// error the request may have reached the peer.
+constexpr std::string_view never_connected = "failed to connect to all addresses";
+
+call_result result_of(const grpc::Status& status, const wire::ExecuteReply& reply)
+{
+    if (status.ok()) {
+        return from_wire(reply);
+    }
+    if (status.error_code() == grpc::StatusCode::UNAVAILABLE &&
+        status.error_message().rfind(never_connected, 0) == 0) {
+        return not_run(reason::peer_unreachable);
+    }
+    return unknown_outcome(reason::peer_connection_lost);
+}
+
+template <typename State, typename Start>
+void grpc_peer_client::start_call(const node_reference& target, const call& what,
+                                  std::shared_ptr<State> state, call_done done, Start start)
+{
+    state->context.set_deadline(system_deadline(what.deadline - ms_clock::now() + reply_grace));
+    const auto stub = stub_of(target);
+    start(stub.get(), *state, [state, stub, done = std::move(done)](const grpc::Status& status) {
+        done(result_of(status, state->reply));
+    });
+    if (what.cancel) {
+        const std::weak_ptr<State> running = state;
+        what.cancel->on_cancel([running] {
+            if (const auto alive = running.lock()) {
+                alive->context.TryCancel();
+            }
+        });
+    }
+}
+
+} // namespace
+
+std::unique_ptr<peer_client> make_grpc_peer_client()
+{
+    return std::make_unique<grpc_peer_client>();
+}
+
+} // namespace chestnutstand
--- /dev/null
+++ b/lib/transport/wire_convert.cpp
@@ -0,0 +1,196 @@
+#include "wire_convert.h"
+
+#include <array>
+#include <utility>
+
+namespace chestnutstand {
+namespace {
+
+template <typename Fields>
+void headers_to_wire(const std::vector<http_header>& from, Fields* to)
+{
+    for (const auto& field : from) {
+        auto* added = to->Add();
+        added->set_name(field.name);
+        added->set_value(field.value);
+    }
+}
+
+template <typename Fields>
+std::vector<http_header> headers_from_wire(const Fields& from)
+{
+    std::vector<http_header> headers;
+    headers.reserve(static_cast<std::size_t>(from.size()));
+    for (const auto& field : from) {
+        headers.push_back({field.name(), field.value()});
+    }
+    return headers;
+}
+
+void response_to_wire(const http_response& from, wire::HttpResponse* to)
+{
+    to->set_status(static_cast<std::uint32_t>(from.status));
+    headers_to_wire(from.headers, to->mutable_headers());
+    to->set_body(from.body);
+}
+
+http_response response_from_wire(const wire::HttpResponse& from)
+{
+    return {static_cast<int>(from.status()), headers_from_wire(from.headers()), from.body()};
+}
+
+constexpr std::array outcomes_on_wire{wire::OUTCOME_COMPLETED, wire::OUTCOME_NOT_RUN,
+                                      wire::OUTCOME_UNKNOWN};
+
+constexpr std::array settle_states_on_wire{wire::SETTLE_COMPLETED, wire::SETTLE_RUNNING,
+                                           wire::SETTLE_FENCED, wire::SETTLE_UNKNOWN,
+                                           wire::SETTLE_WRONG_INSTANCE};
+
+/// Index of a wire value; values that this version does not know count as the fallback.
+template <typename Values, typename Value, typename Enum>
+Enum value_from_wire(const Values& values, Value wanted, Enum fallback)
+{
+    for (std::size_t i = 0; i < values.size(); ++i) {
+        if (values[i] == wanted) {
+            return static_cast<Enum>(i);
+        }
+    }
+    return fallback;
+}
+
+} // namespace
+
+wire::Call to_wire(const call& what)
+{
+    wire::Call message;
+    message.set_service(what.service);
+    message.set_priority(what.priority);
+    message.set_depth(what.depth);
+    message.set_retry_budget(what.retry_budget);
+    message.set_timeout_ms((what.deadline - ms_clock::now()).count());
+    message.set_idempotency_key(what.idempotency_key);
+    message.set_request_id(what.request_id);
+    auto* request = message.mutable_request();
+    request->set_method(what.request.method);
+    request->set_target(what.request.target);
+    headers_to_wire(what.request.headers, request->mutable_headers());
+    request->set_body(what.request.body);
+    return message;
+}
+
+call from_wire(const wire::Call& what)
+{
+    call result;
+    result.service = what.service();
+    result.priority = what.priority();
+    result.deadline = ms_clock::now() + milliseconds{what.timeout_ms()};
+    result.depth = what.depth();
+    result.retry_budget = what.retry_budget();
+    result.idempotency_key = what.idempotency_key();
+    result.request_id = what.request_id();
+    result.request.method = what.request().method();
+    result.request.target = what.request().target();
+    result.request.headers = headers_from_wire(what.request().headers());
+    result.request.body = what.request().body();
+    return result;
+}
+
+wire::LoadReport to_wire(const load_report& load)
+{
+    wire::LoadReport message;
+    message.set_instance(load.instance);
+    message.set_in_flight(load.in_flight);
+    message.set_limit(load.limit);
+    for (const auto& queue : load.queues) {
+        auto* added = message.add_queues();
+        added->set_priority(queue.priority);
+        added->set_length(queue.length);
+    }
+    message.set_latency_ms(load.latency.count());
+    message.set_draining(load.draining);
+    message.set_upstream_registered(load.upstream_registered);
+    return message;
+}
+
+load_report from_wire(const wire::LoadReport& load)
+{
+    load_report result;
+    result.instance = load.instance();
+    result.in_flight = load.in_flight();
+    result.limit = load.limit();
+    for (const auto& queue : load.queues()) {
+        result.queues.push_back({queue.priority(), queue.length()});
+    }
+    result.latency = milliseconds{load.latency_ms()};
+    result.draining = load.draining();
+    result.upstream_registered = load.upstream_registered();
+    return result;
+}
+
+wire::ExecuteReply to_wire(const call_result& result)
+{
+    wire::ExecuteReply reply;
+    reply.set_outcome(outcomes_on_wire.at(static_cast<std::size_t>(result.outcome)));
+    reply.set_reason(std::string{to_string(result.why)});
+    if (result.outcome == outcome::completed) {
+        response_to_wire(result.response, reply.mutable_response());
+    }
+    if (result.load) {
+        *reply.mutable_load() = to_wire(*result.load);
+    }
+    return reply;
+}
+
+call_result from_wire(const wire::ExecuteReply& reply)
+{
+    call_result result;
+    result.outcome = value_from_wire(outcomes_on_wire, reply.outcome(), outcome::unknown);
+    result.why = reason_names.find(reply.reason()).value_or(reason::internal);
+    if (reply.has_response()) {
+        result.response = response_from_wire(reply.response());
+    }
+    if (reply.has_load()) {
+        result.load = from_wire(reply.load());
+    }
+    return result;
+}
+
+wire::SettleReply to_wire(const settle_result& result)
+{
+    wire::SettleReply reply;
+    reply.set_state(settle_states_on_wire.at(static_cast<std::size_t>(result.state)));
+    if (result.state == settle_state::completed) {
+        response_to_wire(result.response, reply.mutable_response());
+    }
+    return reply;
+}
+
+settle_result from_wire(const wire::SettleReply& reply)
+{
+    return {value_from_wire(settle_states_on_wire, reply.state(), settle_state::unknown),
+            response_from_wire(reply.response())};
+}
+
+wire::FetchChangesReply to_wire(const fetched_changes& changes)
+{
+    wire::FetchChangesReply reply;
+    for (const auto& record : changes.records) {
+        auto* added = reply.add_records();
+        added->set_offset(record.offset);
+        added->set_payload(record.payload);
+    }
+    reply.set_starts_with_checkpoint(changes.starts_with_checkpoint);
+    return reply;
+}
+
+fetched_changes from_wire(const wire::FetchChangesReply& reply)
+{
+    fetched_changes changes;
+    for (const auto& record : reply.records()) {
+        changes.records.push_back({record.offset(), record.payload()});
+    }
+    changes.starts_with_checkpoint = reply.starts_with_checkpoint();
+    return changes;
+}
+
+} // namespace chestnutstand
--- /dev/null
+++ b/lib/transport/wire_convert.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "chestnutstand/transport/peer_client.h"
+
+#include "node.pb.h"
+
+namespace chestnutstand {
+
+// Conversions between the messages of node.proto and the types of the decision code.
+
+wire::Call to_wire(const call& what);
+call from_wire(const wire::Call& what);
+
+wire::LoadReport to_wire(const load_report& load);
+load_report from_wire(const wire::LoadReport& load);
+
+wire::ExecuteReply to_wire(const call_result& result);
+call_result from_wire(const wire::ExecuteReply& reply);
+
+wire::SettleReply to_wire(const settle_result& result);
+settle_result from_wire(const wire::SettleReply& reply);
+
+wire::FetchChangesReply to_wire(const fetched_changes& changes);
+fetched_changes from_wire(const wire::FetchChangesReply& reply);
+
+} // namespace chestnutstand
--- /dev/null
+++ b/tests/support/process.cpp
@@ -0,0 +1,144 @@
+#include "process.h"
+
+#include <chrono>
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <fcntl.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace chestnutstand::testing {
+namespace {
+
+constexpr int exec_failed_status = 127;
+constexpr auto line_wait_limit = std::chrono::seconds{20};
+constexpr auto poll_interval = std::chrono::milliseconds{5};
+
+int decode_status(int status)
+{
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+}
+
+[[noreturn]] void run_child(const std::string& program, std::vector<char*>& argv, int input,
+                            int output)
+{
+    // The test may be killed; its children must not outlive it.
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    ::dup2(input, STDIN_FILENO);
+    ::dup2(output, STDOUT_FILENO);
+    ::dup2(output, STDERR_FILENO);
+    ::execv(program.c_str(), argv.data());
+    ::_exit(exec_failed_status);
+}
+
+} // namespace
+
+process::process(const std::string& program, const std::vector<std::string>& arguments)
+{
+    int input[2] = {};
+    int output[2] = {};
+    if (::pipe2(input, O_CLOEXEC) != 0 || ::pipe2(output, O_CLOEXEC) != 0) {
+        std::abort();
+    }
+    std::vector<char*> argv{const_cast<char*>(program.c_str())};
+    for (const auto& argument : arguments) {
+        argv.push_back(const_cast<char*>(argument.c_str()));
+    }
+    argv.push_back(nullptr);
+    pid_ = ::fork();
+    if (pid_ == 0) {
+        run_child(program, argv, input[0], output[1]);
+    }
+    ::close(input[0]);
+    ::close(output[1]);
+    input_ = input[1];
+    reader_ = std::thread{[this, descriptor = output[0]] { read_output(descriptor); }};
+}
+
+process::~process()
+{
+    kill();
+    ::close(input_);
+    reader_.join();
+}
+
+void process::read_output(int descriptor)
+{
+    FILE* stream = ::fdopen(descriptor, "r");
+    char* line = nullptr;
+    std::size_t capacity = 0;
+    while (::getline(&line, &capacity, stream) > 0) {
+        auto parsed = nlohmann::json::parse(line, nullptr, false);
+        if (!parsed.is_object()) {
+            std::fprintf(stderr, "[%d] %s", static_cast<int>(pid_), line);
+            continue;
+        }
+        const std::lock_guard lock{mutex_};
+        lines_.push_back(std::move(parsed));
+    }
+    std::free(line);
+    std::fclose(stream);
+    const std::lock_guard lock{mutex_};
+    output_closed_ = true;
+}
+
+std::optional<nlohmann::json>
+process::wait_for_line(const std::function<bool(const nlohmann::json&)>& wanted)
+{
+    const auto limit = std::chrono::steady_clock::now() + line_wait_limit;
+    std::size_t seen = 0;
+    while (std::chrono::steady_clock::now() < limit) {
+        {
+            const std::lock_guard lock{mutex_};
+            for (; seen < lines_.size(); ++seen) {
+                if (wanted(lines_[seen])) {
+                    return lines_[seen];
+                }
+            }
+            if (output_closed_) {
+                return std::nullopt;
+            }
+        }
+        std::this_thread::sleep_for(poll_interval);
+    }
+    return std::nullopt;
+}
+
+void process::signal(int number) const
+{
+    ::kill(pid_, number);
+}
+
+void process::kill()
+{
+    if (!exit_status_) {
+        signal(SIGKILL);
+        wait();
+    }
+}
+
+int process::wait()
+{
+    if (!exit_status_) {
+        int status = 0;
+        ::waitpid(pid_, &status, 0);
+        exit_status_ = decode_status(status);
+    }
+    return *exit_status_;
+}
+
+bool process::running()
+{
+    if (exit_status_) {
+        return false;
+    }
+    int status = 0;
+    if (::waitpid(pid_, &status, WNOHANG) == pid_) {
+        exit_status_ = decode_status(status);
+    }
+    return !exit_status_;
+}
+
+} // namespace chestnutstand::testing
