Add gossip membership

A death that comes without a suspicion is checked by a ping before it is believed, so that a healed partition does not remove live members. Urgent news (drain, death, refutation) is pushed to four members at once, within a budget.

--- /dev/null
+++ b/include/chestnutstand/membership/gossip_codec.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "chestnutstand/membership/member.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace chestnutstand {
+
+enum class gossip_kind : std::uint8_t { ping, ack, ping_request, config_hint, push };
+
+/// One gossip datagram.
+struct gossip_message {
+    gossip_kind kind = gossip_kind::ping;
+    std::uint64_t sequence = 0;
+    member sender;
+    std::optional<member> target;
+    std::vector<member> updates;
+    std::uint64_t config_next_offset = 0;
+    std::uint64_t target_instance = 0;
+    std::uint64_t table_digest = 0;
+};
+
+/// Content of a push-pull exchange.
+struct sync_content {
+    std::vector<member> members;
+    /// Digest per bucket; empty when the sender only hands over members.
+    std::vector<std::uint64_t> digests;
+};
+
+std::string encode(const gossip_message& message);
+
+/// Null when the bytes are no valid message; invalid updates are left out.
+std::optional<gossip_message> decode_gossip(std::string_view bytes);
+
+/// Upper bound of the bytes that an update adds to a message.
+std::size_t encoded_size(const member& update);
+
+std::vector<std::string> encode(const sync_content& content);
+sync_content decode_sync(const std::vector<std::string>& items);
+
+/// Payload of the members stream.
+std::string encode_join_record(const member& self);
+std::optional<member> decode_join_record(const std::string& payload);
+
+} // namespace chestnutstand
--- /dev/null
+++ b/include/chestnutstand/membership/swim.h
@@ -0,0 +1,196 @@
+#pragma once
+
+#include "chestnutstand/membership/gossip_codec.h"
+#include "chestnutstand/membership/member_table.h"
+#include "chestnutstand/membership/update_queue.h"
+
+#include <cstdint>
+#include <deque>
+#include <random>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace chestnutstand {
+
+struct swim_options {
+    milliseconds probe_period{1'000};
+    /// Share of the period by which it varies, so that nodes do not probe in step.
+    double probe_jitter = 0.1;
+    milliseconds direct_timeout{300};
+    milliseconds suspicion{3'000};
+    /// A suspect that has not refuted for this long gets no calls.
+    milliseconds unroutable_after{1'500};
+    milliseconds dead_retention{3'600'000};
+    milliseconds dead_retry{10'000};
+    /// A table that has not changed for this long is compared with those of peers. Updates reach
+    /// 7,400 members well within it.
+    milliseconds digest_quiet{10'000};
+    /// Longest rate at which doubtful claims are checked by a ping to the member concerned.
+    milliseconds verify_interval{100};
+    milliseconds sync_interval{5'000};
+    /// Bytes per second that the push-pull exchanges started here may cost.
+    double sync_bytes_per_s = 2'000;
+    std::size_t indirect_probes = 3;
+    std::size_t push_fan_out = 4;
+    /// Rounds of urgent pushes per second; more updates than that wait for the next probes.
+    double pushes_per_s = 0.5;
+    double push_burst = 4;
+    std::size_t packet_limit = 1'200;
+    /// An update is sent this many times the logarithm of the member count.
+    double retransmit_factor = 3.0;
+};
+
+/// Datagram to be sent.
+struct datagram {
+    std::string address;
+    std::uint16_t port = 0;
+    std::string payload;
+};
+
+/// A peer that has replayed more configuration records than this node.
+struct config_hint {
+    node_reference peer;
+    std::uint64_t next_offset = 0;
+};
+
+/// What the owner of the state machine is to do.
+struct swim_output {
+    std::vector<datagram> datagrams;
+    /// Peers to start a push-pull exchange with.
+    std::vector<node_reference> syncs;
+    std::vector<config_hint> config_hints;
+    bool members_changed = false;
+    /// The node was paused for longer than the suspicion time.
+    bool resumed = false;
+};
+
+/// SWIM protocol state machine of one member: failure detection by probes, dissemination by
+/// piggybacked updates. No I/O; inputs carry the time, outputs are collected until taken.
+class swim {
+public:
+    swim(member self, const swim_options& options, std::uint64_t random_seed, time_point now);
+
+    void on_message(std::string_view payload, time_point now);
+    /// To be called often compared with the direct timeout; a late call counts as a pause.
+    void on_tick(time_point now);
+
+    /// Pings an address of which no member is known yet.
+    void contact(const std::string& address, std::uint16_t port);
+
+    /// First message of a push-pull exchange.
+    std::vector<std::string> sync_request() const;
+    /// Reply to the first or second message of a peer's exchange.
+    std::vector<std::string> handle_sync(const std::vector<std::string>& items, time_point now);
+    /// Takes the reply; a non-empty result is the second message of the exchange.
+    std::vector<std::string> finish_sync(const std::vector<std::string>& reply, time_point now);
+
+    void set_upstream(const std::string& service, std::uint32_t slots);
+    void set_draining();
+    void leave();
+    void set_config_next_offset(std::uint64_t next);
+
+    swim_output take_output() { return std::exchange(output_, {}); }
+
+    const member& self() const { return self_; }
+    const member_table& table() const { return table_; }
+    /// All members, this node first.
+    std::vector<member> members() const;
+    /// Whether calls may be sent to a member.
+    bool is_routable(const member& candidate) const;
+
+private:
+    enum class claim_source : std::uint8_t { direct, gossip, sync, bulk_sync };
+
+    struct probe {
+        std::uint64_t target = 0;
+        std::uint64_t sequence = 0;
+        time_point direct_deadline;
+        time_point deadline;
+        bool indirect = false;
+    };
+    struct relay {
+        std::uint64_t target = 0;
+        std::string address;
+        std::uint16_t port = 0;
+        std::uint64_t sequence = 0;
+        time_point deadline;
+    };
+    struct suspicion {
+        time_point started;
+        time_point deadline;
+        bool routable = true;
+        /// Whether this node's own probe raised it; then it keeps probing the member.
+        bool own = false;
+    };
+
+    // Merging of states.
+    void apply(const member& incoming, claim_source source, time_point now);
+    void apply_to_self(const member& incoming);
+    void adopt(const member& incoming, claim_source source, time_point now);
+    bool doubts_death(const member& incoming, const member& known, claim_source source,
+                      time_point now);
+    void declare(std::uint64_t instance, liveness state, time_point now);
+    void displace_at_address_of(const member& sender, time_point now);
+    void announce_self(bool urgent);
+    void verify_later(const member& claim);
+
+    // Messages.
+    void on_ping(const gossip_message& message);
+    void on_ack(const gossip_message& message, time_point now);
+    void on_ping_request(const gossip_message& message, time_point now);
+    void compare_digests(const gossip_message& message, time_point now);
+    void send(gossip_message message, const std::string& address, std::uint16_t port,
+              std::uint64_t to_instance);
+    void add_updates(gossip_message& message, std::uint64_t to_instance);
+    void ping(const member& target, std::uint64_t sequence);
+    std::size_t transmit_limit() const;
+
+    // Timers.
+    void note_time(time_point now);
+    void shift_deadlines(milliseconds gap);
+    void start_period(time_point now);
+    void start_probe(std::uint64_t target, time_point now);
+    std::uint64_t next_probe_target();
+    void advance_probes(time_point now);
+    void request_indirect(probe& running);
+    void expire_suspicions(time_point now);
+    void retry_dead(time_point now);
+    void verify_next(time_point now);
+    void push_urgent(time_point now);
+
+    // Digests.
+    std::uint64_t digest() const { return table_.digest() ^ member_table::digest_of(self_); }
+    std::uint64_t quiet_digest() const;
+    std::vector<std::uint64_t> bucket_digests(std::size_t count) const;
+    void request_sync(const node_reference& peer, time_point now);
+
+    member self_;
+    swim_options options_;
+    std::mt19937_64 random_;
+    member_table table_;
+    update_queue queue_;
+    swim_output output_;
+    std::vector<probe> probes_;
+    std::vector<std::uint64_t> probe_order_;
+    std::size_t probe_index_ = 0;
+    std::unordered_map<std::uint64_t, relay> relays_;
+    std::unordered_map<std::uint64_t, suspicion> suspicions_;
+    std::deque<std::uint64_t> verify_order_;
+    std::unordered_map<std::uint64_t, member> verify_;
+    std::uint64_t last_sequence_ = 0;
+    std::uint64_t config_next_offset_ = 0;
+    time_point last_seen_;
+    time_point table_changed_;
+    time_point next_probe_;
+    time_point next_dead_retry_;
+    time_point next_verify_;
+    time_point next_sync_;
+    time_point next_purge_;
+    time_point push_refilled_;
+    double push_tokens_;
+};
+
+} // namespace chestnutstand
--- /dev/null
+++ b/lib/membership/update_queue.cpp
@@ -0,0 +1,71 @@
+#include "chestnutstand/membership/update_queue.h"
+
+#include <algorithm>
+#include <tuple>
+#include <vector>
+
+namespace chestnutstand {
+
+namespace {
+
+// Candidates looked at per message; more would not fit into a packet anyway.
+constexpr std::size_t candidate_factor = 2;
+
+} // namespace
+
+void update_queue::add(std::uint64_t instance, bool urgent)
+{
+    entry& queued = entries_[instance];
+    if (queued.urgent && queued.sent == 0) {
+        --unsent_urgent_;
+    }
+    queued = {0, ++next_order_, urgent || (queued.urgent && queued.sent == 0)};
+    if (queued.urgent) {
+        ++unsent_urgent_;
+    }
+}
+
+void update_queue::take(std::size_t limit, std::size_t max_sent,
+                        const std::function<bool(std::uint64_t)>& visit)
+{
+    struct candidate {
+        bool not_urgent;
+        std::size_t sent;
+        std::uint64_t age;
+        std::uint64_t instance;
+        auto key() const { return std::tie(not_urgent, sent, age); }
+    };
+    std::vector<candidate> candidates;
+    candidates.reserve(entries_.size());
+    for (const auto& [instance, queued] : entries_) {
+        candidates.push_back({!queued.urgent, queued.sent, next_order_ - queued.order, instance});
+    }
+    const std::size_t wanted = std::min(candidates.size(), max_sent * candidate_factor);
+    const auto middle = candidates.begin() + static_cast<std::ptrdiff_t>(wanted);
+    std::partial_sort(candidates.begin(), middle, candidates.end(),
+                      [](const auto& a, const auto& b) { return a.key() < b.key(); });
+    candidates.resize(wanted);
+    std::size_t sent = 0;
+    for (const candidate& next : candidates) {
+        if (sent == max_sent) {
+            return;
+        }
+        if (visit(next.instance)) {
+            ++sent;
+            mark_sent(next.instance, limit);
+        }
+    }
+}
+
+void update_queue::mark_sent(std::uint64_t instance, std::size_t limit)
+{
+    const auto found = entries_.find(instance);
+    if (found->second.urgent && found->second.sent == 0) {
+        --unsent_urgent_;
+    }
+    if (++found->second.sent >= limit) {
+        entries_.erase(found);
+    }
+}
+
+} // namespace chestnutstand
--- /dev/null
+++ b/unittests/membership/member_order_test.cpp
@@ -0,0 +1,67 @@
+#include "chestnutstand/membership/member_order.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+namespace chestnutstand {
+namespace {
+
+// States of one member, with few distinct values so that ties are frequent.
+member arbitrary_state()
+{
+    member state;
+    state.node = {7, "10.0.0.7", 70};
+    state.incarnation = *rc::gen::inRange<std::uint64_t>(0, 4);
+    state.state = static_cast<liveness>(*rc::gen::inRange(0, 4));
+    state.service = *rc::gen::element<std::string>("", "ledger-view", "crate-yard");
+    state.draining = *rc::gen::arbitrary<bool>();
+    state.slots = *rc::gen::inRange<std::uint32_t>(0, 3);
+    return state;
+}
+
+bool same(const member& a, const member& b)
+{
+    return !supersedes(a, b) && !supersedes(b, a);
+}
+
+// Guards against nodes that end up with different states of a member because they received the same
+// updates in a different order, grouping or number.
+TEST(member_order, merge_is_a_semilattice)
+{
+    EXPECT_TRUE(rc::check([] {
+        const member a = arbitrary_state();
+        const member b = arbitrary_state();
+        const member c = arbitrary_state();
+        RC_ASSERT(same(merge(a, a), a));
+        RC_ASSERT(same(merge(a, b), merge(b, a)));
+        RC_ASSERT(same(merge(merge(a, b), c), merge(a, merge(b, c))));
+    }));
+}
+
+// Guards against a live member that stays suspected although it has answered.
+TEST(member_order, refutation_wins_over_earlier_suspicion)
+{
+    EXPECT_TRUE(rc::check([] {
+        member suspected = arbitrary_state();
+        suspected.state = *rc::gen::element(liveness::suspect, liveness::dead);
+        member refuted = arbitrary_state();
+        refuted.state = liveness::alive;
+        refuted.incarnation = suspected.incarnation + 1;
+        RC_ASSERT(merge(suspected, refuted).state == liveness::alive);
+    }));
+}
+
+// Guards against delayed messages that bring a dead member back into the routing tables.
+TEST(member_order, dead_is_not_revived_without_higher_incarnation)
+{
+    EXPECT_TRUE(rc::check([] {
+        member dead = arbitrary_state();
+        dead.state = *rc::gen::element(liveness::dead, liveness::left);
+        member late = arbitrary_state();
+        RC_PRE(late.incarnation <= dead.incarnation);
+        RC_ASSERT(!is_live(merge(late, dead)));
+    }));
+}
+
+} // namespace
+} // namespace chestnutstand
--- /dev/null
+++ b/unittests/membership/membership_test.cpp
@@ -0,0 +1,246 @@
+#include "chestnutstand/membership/membership.h"
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <future>
+#include <map>
+#include <mutex>
+#include <thread>
+
+namespace chestnutstand {
+namespace {
+
+/// Log service in memory that can be switched off.
+class memory_log : public log_client {
+public:
+    void append(const std::string& /*stream*/, std::string payload, append_done done) override
+    {
+        const std::lock_guard lock{mutex_};
+        if (down_) {
+            done(absl::UnavailableError("log is down"));
+            return;
+        }
+        records_.push_back(std::move(payload));
+        done(records_.size() - 1);
+    }
+
+    void read(const std::string& /*stream*/, std::uint64_t from, std::uint32_t limit,
+              read_done done) override
+    {
+        const std::lock_guard lock{mutex_};
+        if (down_) {
+            done(absl::UnavailableError("log is down"));
+            return;
+        }
+        log_page page;
+        page.next = records_.size();
+        for (std::uint64_t i = from; i < page.next && page.records.size() < limit; ++i) {
+            page.records.push_back({i, milliseconds{0}, records_[i]});
+        }
+        done(std::move(page));
+    }
+
+    void set_down(bool down)
+    {
+        const std::lock_guard lock{mutex_};
+        down_ = down;
+    }
+
+private:
+    std::mutex mutex_;
+    std::vector<std::string> records_;
+    bool down_ = false;
+};
+
+/// Hands push-pull exchanges to the membership objects of the same process.
+class local_peers : public peer_client {
+public:
+    struct target {
+        control_loop* loop = nullptr;
+        membership* node = nullptr;
+    };
+
+    void add(std::uint64_t instance, target to)
+    {
+        const std::lock_guard lock{mutex_};
+        targets_[instance] = to;
+    }
+
+    void remove(std::uint64_t instance)
+    {
+        const std::lock_guard lock{mutex_};
+        targets_.erase(instance);
+    }
+
+    void sync_members(const node_reference& to, std::vector<std::string> members,
+                      milliseconds /*timeout*/, members_done done) override
+    {
+        const std::lock_guard lock{mutex_};
+        const auto found = targets_.find(to.instance);
+        if (found == targets_.end()) {
+            done(absl::UnavailableError("no such node"));
+            return;
+        }
+        found->second.loop->post([node = found->second.node, members = std::move(members), done] {
+            node->handle_sync(members, done);
+        });
+    }
+
+    void execute(const node_reference& /*target*/, const call& /*what*/, call_done done) override
+    {
+        done(not_run(reason::peer_unreachable));
+    }
+    void forward(const node_reference& /*owner*/, const call& /*what*/, bool /*query_only*/,
+                 call_done done) override
+    {
+        done(not_run(reason::peer_unreachable));
+    }
+    void settle(const node_reference& /*executor*/, const std::string& /*key*/,
+                milliseconds /*timeout*/, settle_done done) override
+    {
+        done(absl::UnimplementedError(""));
+    }
+    void probe(const node_reference& /*target*/, milliseconds /*timeout*/, probe_done done) override
+    {
+        done(absl::UnimplementedError(""));
+    }
+    void fetch_changes(const node_reference& /*target*/, std::uint64_t /*from_offset*/,
+                       milliseconds /*timeout*/, changes_done done) override
+    {
+        done(absl::UnimplementedError(""));
+    }
+
+private:
+    std::mutex mutex_;
+    std::map<std::uint64_t, target> targets_;
+};
+
+/// A node with a control loop of its own.
+struct test_node {
+    test_node(std::uint64_t instance, log_client& log, local_peers& peers,
+              std::vector<seed_address> seeds = {})
+        : node{options(instance, std::move(seeds)), loop, log, peers}, peers_{peers}, instance_{
+                                                                                          instance}
+    {
+        peers.add(instance, {&loop, &node});
+    }
+    test_node(const test_node&) = delete;
+    test_node& operator=(const test_node&) = delete;
+    ~test_node()
+    {
+        peers_.remove(instance_);
+        loop.stop();
+    }
+
+    static membership_options options(std::uint64_t instance, std::vector<seed_address> seeds)
+    {
+        member self;
+        self.node = {instance, "127.0.0.1", 1};
+        self.data_centre = "howrah";
+        return {self, std::move(seeds), instance};
+    }
+
+    void run(const std::function<void()>& task)
+    {
+        std::promise<void> done;
+        loop.post([&] {
+            task();
+            done.set_value();
+        });
+        done.get_future().wait();
+    }
+
+    std::size_t routable(const std::string& service) const
+    {
+        const auto table = node.table().load();
+        const auto* members = table->find(service);
+        return members == nullptr ? 0 : members->size();
+    }
+
+    control_loop loop;
+    membership node;
+
+private:
+    local_peers& peers_;
+    std::uint64_t instance_;
+};
+
+template <typename Condition>
+bool eventually(Condition condition)
+{
+    const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds{60};
+    while (std::chrono::steady_clock::now() < limit) {
+        if (condition()) {
+            return true;
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds{10});
+    }
+    return false;
+}
+
+// Guards against nodes that start together and never find each other through the log, and against
+// draining members that stay in the routing table.
+TEST(membership, nodes_find_each_other_through_the_log_and_draining_leaves_the_table)
+{
+    memory_log log;
+    local_peers peers;
+    test_node a{1, log, peers};
+    test_node b{2, log, peers};
+    test_node c{3, log, peers};
+    for (test_node* each : {&a, &b, &c}) {
+        ASSERT_TRUE(each->node.start().ok());
+        each->run([&] { each->node.set_local_upstream("ledger-view", 10); });
+    }
+    for (test_node* each : {&a, &b, &c}) {
+        EXPECT_TRUE(eventually([&] { return each->routable("ledger-view") == 3; }));
+    }
+    b.run([&] { b.node.set_draining(); });
+    EXPECT_TRUE(eventually([&] { return a.routable("ledger-view") == 2; }));
+    EXPECT_GT(a.node.traffic().packets_received, 0U);
+}
+
+// Guards against a cluster that cannot grow while the log is down.
+TEST(membership, node_joins_by_seed_while_the_log_is_down)
+{
+    memory_log log;
+    log.set_down(true);
+    local_peers peers;
+    test_node a{1, log, peers};
+    ASSERT_TRUE(a.node.start().ok());
+    a.run([&] { a.node.set_local_upstream("ledger-view", 10); });
+    test_node b{2, log, peers, {{"127.0.0.1", a.node.gossip_port()}}};
+    ASSERT_TRUE(b.node.start().ok());
+    EXPECT_TRUE(eventually([&] { return b.routable("ledger-view") == 1; }));
+    EXPECT_TRUE(eventually([&] {
+        std::size_t known = 0;
+        a.run([&] { known = a.node.members().size(); });
+        return known == 2;
+    }));
+}
+
+// Guards against configuration news that stays with the node that read it.
+TEST(membership, configuration_hints_reach_peers)
+{
+    memory_log log;
+    local_peers peers;
+    test_node a{1, log, peers};
+    ASSERT_TRUE(a.node.start().ok());
+    test_node b{2, log, peers, {{"127.0.0.1", a.node.gossip_port()}}};
+    std::promise<std::uint64_t> hinted;
+    std::once_flag once;
+    b.run([&] {
+        b.node.on_config_hint([&](const node_reference& peer, std::uint64_t next) {
+            EXPECT_EQ(peer.instance, 1U);
+            std::call_once(once, [&] { hinted.set_value(next); });
+        });
+    });
+    ASSERT_TRUE(b.node.start().ok());
+    a.run([&] { a.node.set_config_next_offset(17); });
+    auto next = hinted.get_future();
+    ASSERT_EQ(next.wait_for(std::chrono::seconds{60}), std::future_status::ready);
+    EXPECT_EQ(next.get(), 17U);
+}
+
+} // namespace
+} // namespace chestnutstand
