--- /dev/null
+++ b/include/chestnutstand/routing/peer_load.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "chestnutstand/routing/priority_order.h"
+#include "chestnutstand/support/clock.h"
+#include "chestnutstand/transport/call.h"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <mutex>
+#include <optional>
+
+namespace chestnutstand {
+
+/// Load of a peer at one moment, as seen by calls of one priority rank.
+struct load_view {
+    /// Calls sent from this node that have not been answered.
+    std::uint32_t own_in_flight = 0;
+    /// Calls sent from this node since the last report was received.
+    std::uint32_t sent_since_report = 0;
+    /// From the last report; zero without one.
+    std::uint32_t in_flight = 0;
+    std::uint32_t queued_ahead = 0;
+    std::uint32_t limit = 0;
+    /// Recent latency of replies, network included; zero while it is not known.
+    milliseconds latency{0};
+    /// Age of the last report; empty without one.
+    std::optional<milliseconds> report_age;
+    bool draining = false;
+    bool upstream_registered = true;
+};
+
+/// What this node knows of the load of one peer. Safe for concurrent use; one small mutex, so that
+/// a report is never read half updated.
+class peer_load {
+public:
+    /// Counts a call as sent.
+    void begin_call();
+
+    /// Ends a call that was counted by begin_call. The latency is given only for calls that the
+    /// upstream answered well: a fast failure must not make the peer look fast.
+    void end_call(std::optional<milliseconds> latency, time_point now);
+
+    /// Stores the report of a reply or a probe.
+    void record_report(const load_report& report, const priority_order& order, time_point now);
+
+    load_view read(std::size_t rank, time_point now) const;
+
+    /// Keeps new calls away until then, for instance after a failed connection.
+    void avoid_until(time_point until);
+    bool avoided(time_point now) const;
+
+private:
+    milliseconds decayed_latency(time_point now) const;
+
+    mutable std::mutex mutex_;
+    std::uint32_t own_in_flight_ = 0;
+    std::uint32_t sent_since_report_ = 0;
+    std::uint16_t in_flight_ = 0;
+    std::uint16_t limit_ = 0;
+    /// Queue lengths by priority rank.
+    std::array<std::uint16_t, priority_rank_count> queued_{};
+    time_point reported_at_{};
+    time_point replied_at_{};
+    time_point avoided_until_{};
+    float latency_ms_ = 0.0F;
+    bool has_report_ = false;
+    bool draining_ = false;
+    bool upstream_registered_ = true;
+};
+
+} // namespace chestnutstand
--- /dev/null
+++ b/lib/routing/peer_load.cpp
@@ -0,0 +1,115 @@
+#include "chestnutstand/routing/peer_load.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace chestnutstand {
+namespace {
+
+/// Weight of the newest latency in the average. Load changes within milliseconds, so that only the
+/// last handful of replies is of interest.
+constexpr double newest_weight = 0.2;
+
+/// Time after which a latency counts half when no reply has come since. A peer that was once slow
+/// gets no replies, so that its latency would otherwise keep traffic away for ever.
+constexpr milliseconds latency_half_life{1000};
+
+/// Smallest weight that remains of an old latency.
+constexpr double lowest_decay = 0.125;
+
+std::uint16_t narrow(std::uint32_t value)
+{
+    constexpr std::uint32_t highest = std::numeric_limits<std::uint16_t>::max();
+    return static_cast<std::uint16_t>(std::min(value, highest));
+}
+
+} // namespace
+
+void peer_load::begin_call()
+{
+    const std::lock_guard lock{mutex_};
+    ++own_in_flight_;
+    ++sent_since_report_;
+}
+
+void peer_load::end_call(std::optional<milliseconds> latency, time_point now)
+{
+    const std::lock_guard lock{mutex_};
+    if (own_in_flight_ > 0) {
+        --own_in_flight_;
+    }
+    if (!latency) {
+        return;
+    }
+    const double sample = latency->count();
+    const double previous = latency_ms_ > 0.0F ? decayed_latency(now).count() : sample;
+    latency_ms_ = static_cast<float>(previous + newest_weight * (sample - previous));
+    replied_at_ = now;
+}
+
+void peer_load::record_report(const load_report& report, const priority_order& order,
+                              time_point now)
+{
+    const std::lock_guard lock{mutex_};
+    in_flight_ = narrow(report.in_flight);
+    limit_ = narrow(report.limit);
+    queued_.fill(0);
+    for (const queue_length& queue : report.queues) {
+        std::uint16_t& length = queued_[order.rank(queue.priority)];
+        length = narrow(length + queue.length);
+    }
+    if (latency_ms_ <= 0.0F) {
+        latency_ms_ = static_cast<float>(report.latency.count());
+        replied_at_ = now;
+    }
+    draining_ = report.draining;
+    upstream_registered_ = report.upstream_registered;
+    sent_since_report_ = 0;
+    reported_at_ = now;
+    has_report_ = true;
+}
+
+load_view peer_load::read(std::size_t rank, time_point now) const
+{
+    const std::lock_guard lock{mutex_};
+    load_view view;
+    view.own_in_flight = own_in_flight_;
+    view.sent_since_report = sent_since_report_;
+    view.in_flight = in_flight_;
+    for (std::size_t i = 0; i <= rank && i < queued_.size(); ++i) {
+        view.queued_ahead += queued_[i];
+    }
+    view.limit = limit_;
+    view.latency = decayed_latency(now);
+    if (has_report_) {
+        view.report_age = now - reported_at_;
+    }
+    view.draining = draining_;
+    view.upstream_registered = upstream_registered_;
+    return view;
+}
+
+void peer_load::avoid_until(time_point until)
+{
+    const std::lock_guard lock{mutex_};
+    avoided_until_ = std::max(avoided_until_, until);
+}
+
+bool peer_load::avoided(time_point now) const
+{
+    const std::lock_guard lock{mutex_};
+    return now < avoided_until_;
+}
+
+milliseconds peer_load::decayed_latency(time_point now) const
+{
+    // Unanswered calls show that the peer has not become fast again.
+    if (own_in_flight_ > 0 || now <= replied_at_) {
+        return milliseconds{latency_ms_};
+    }
+    const double decay = std::exp2(-(now - replied_at_) / latency_half_life);
+    return milliseconds{latency_ms_ * std::max(lowest_decay, decay)};
+}
+
+} // namespace chestnutstand
