Add balancing policies, outlier detection, slow start and retry budgets

The outlier detector uses a window of 16 calls and not of time, so that a member that fails within microseconds is ejected after the same few calls as a slow one.

--- /dev/null
+++ b/include/chestnutstand/routing/retry_budget.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "chestnutstand/support/clock.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <optional>
+#include <utility>
+
+namespace chestnutstand {
+
+/// Retries and hedges that one node may send to one service: a ratio of its successful calls plus a
+/// small rate that keeps retries possible at low traffic. Not safe for concurrent use.
+class retry_budget {
+public:
+    /// Retries per second that are allowed without any successful call.
+    static constexpr double floor_per_s = 1.0;
+    /// Retries that can be saved up; also the most that a sudden failure can cause at once.
+    static constexpr double most_saved = 20.0;
+    /// Saved at the start, so that the first calls of a node can survive the loss of a member.
+    static constexpr double saved_at_start = 2.0;
+
+    explicit retry_budget(time_point now) : refilled_{now} {}
+
+    void record_success(double ratio) { saved_ = std::min(most_saved, saved_ + ratio); }
+
+    /// Takes one retry; false when there is none.
+    bool try_take(time_point now)
+    {
+        if (now > refilled_) {
+            saved_ = std::min(most_saved, saved_ + (now - refilled_).count() * floor_per_s / 1000);
+            refilled_ = now;
+        }
+        if (saved_ < 1.0) {
+            return false;
+        }
+        saved_ -= 1.0;
+        return true;
+    }
+
+    /// Returns a retry that was taken and not sent.
+    void give_back() { saved_ = std::min(most_saved, saved_ + 1.0); }
+
+private:
+    double saved_ = saved_at_start;
+    time_point refilled_;
+};
+
+/// Retry budget of a call that arrives without one, and the highest that is accepted.
+inline constexpr std::uint32_t default_tree_budget = 8;
+
+/// The part of a call tree's retry budget that one dispatched call holds.
+///
+/// A call that arrives with budget b stands for at most b + 1 attempts of itself and of every call
+/// below it. The first attempt carries b - 1 to its upstream and one attempt is kept for a retry or
+/// hedge, which carries 0. The upstream copies the value that it gets to each of its own calls. The
+/// attempts of one call share the b + 1 of the attempt above, however deep the tree is and however
+/// many calls an upstream makes. An attempt that reached no upstream caused no calls below it, so
+/// that its part is given back.
+class tree_budget {
+public:
+    explicit tree_budget(std::uint32_t received) : attempts_{received + 1ULL} {}
+
+    /// Starts an attempt and returns the budget that it carries; empty when no attempt is left.
+    std::optional<std::uint32_t> start()
+    {
+        if (attempts_ <= 1) {
+            const bool left = std::exchange(attempts_, 0) == 1;
+            return left ? std::optional<std::uint32_t>{0} : std::nullopt;
+        }
+        const auto carried = static_cast<std::uint32_t>(attempts_ - 2);
+        attempts_ = 1;
+        return carried;
+    }
+
+    /// Takes back what an attempt carried that reached no upstream.
+    void give_back(std::uint32_t carried) { attempts_ += carried + 1ULL; }
+
+    bool exhausted() const { return attempts_ == 0; }
+
+private:
+    std::uint64_t attempts_;
+};
+
+} // namespace chestnutstand
--- /dev/null
+++ b/lib/routing/outlier_detector.cpp
@@ -0,0 +1,133 @@
+#include "chestnutstand/routing/outlier_detector.h"
+
+#include "chestnutstand/routing/slow_start.h"
+
+#include <algorithm>
+#include <bit>
+#include <cmath>
+#include <random>
+
+namespace chestnutstand {
+namespace {
+
+/// Calls in the window. A window of calls and not of time ejects a member that fails within
+/// microseconds after the same few calls as a slow one.
+constexpr std::uint8_t window_calls = 16;
+
+/// Calls needed before a member can be ejected, and while it is being readmitted.
+constexpr std::uint8_t least_calls = 5;
+constexpr std::uint8_t least_calls_readmitting = 2;
+
+/// A member is ejected when its failure ratio is at least this and stands out from the ratio of the
+/// other members by the margin. When all fail alike, ejecting some only overloads the rest.
+constexpr double ejection_ratio = 0.5;
+constexpr double ejection_margin = 0.3;
+
+/// Calls older than this say nothing about the member now.
+constexpr milliseconds memory{10'000};
+
+constexpr milliseconds base_period{1'000};
+constexpr milliseconds longest_period{60'000};
+constexpr double jitter = 0.25;
+
+} // namespace
+
+void outlier_detector::set_members(const std::vector<std::uint64_t>& instances)
+{
+    std::unordered_map<std::uint64_t, history> next;
+    next.reserve(instances.size());
+    for (const std::uint64_t instance : instances) {
+        next.emplace(instance, members_[instance]);
+    }
+    members_ = std::move(next);
+}
+
+void outlier_detector::record(std::uint64_t instance, bool succeeded, time_point now,
+                              random_generator& random)
+{
+    const auto found = members_.find(instance);
+    if (found == members_.end() || now < found->second.ejected_until) {
+        return;
+    }
+    history& member = found->second;
+    if (now - member.last_call > memory) {
+        member.calls = 0;
+        member.failures = 0;
+    }
+    member.last_call = now;
+    member.failures = static_cast<std::uint16_t>((member.failures << 1U) | (succeeded ? 0U : 1U));
+    member.calls = std::min<std::uint8_t>(window_calls, member.calls + 1);
+    if (stands_out(instance, member, now)) {
+        eject(member, now, random);
+    }
+    else if (member.calls == window_calls && member.failures == 0 && !readmitting(member, now)) {
+        member.ejections = 0;
+        member.was_ejected = false;
+    }
+}
+
+double outlier_detector::share(std::uint64_t instance, time_point now) const
+{
+    const auto found = members_.find(instance);
+    if (found == members_.end() || !found->second.was_ejected) {
+        return 1.0;
+    }
+    const milliseconds since = now - found->second.ejected_until;
+    return since < milliseconds{0} ? 0.0 : readmission_start.share(since);
+}
+
+std::size_t outlier_detector::ejected_count(time_point now) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(members_.begin(), members_.end(),
+                      [now](const auto& entry) { return now < entry.second.ejected_until; }));
+}
+
+double outlier_detector::failure_ratio(const history& member)
+{
+    return member.calls == 0 ? 0.0
+                             : static_cast<double>(std::popcount(member.failures)) / member.calls;
+}
+
+bool outlier_detector::readmitting(const history& member, time_point now)
+{
+    return member.was_ejected && now - member.ejected_until < readmission_start.ramp;
+}
+
+bool outlier_detector::stands_out(std::uint64_t instance, const history& member,
+                                  time_point now) const
+{
+    const std::uint8_t needed = readmitting(member, now) ? least_calls_readmitting : least_calls;
+    const double ratio = failure_ratio(member);
+    if (member.calls < needed || ratio < ejection_ratio) {
+        return false;
+    }
+    if ((ejected_count(now) + 1) * 2 > members_.size()) {
+        return false;
+    }
+    double sum = 0.0;
+    std::size_t others = 0;
+    for (const auto& [other, state] : members_) {
+        if (other != instance && state.calls > 0 && now - state.last_call <= memory) {
+            sum += failure_ratio(state);
+            ++others;
+        }
+    }
+    return others == 0 || ratio >= sum / static_cast<double>(others) + ejection_margin;
+}
+
+void outlier_detector::eject(history& member, time_point now, random_generator& random)
+{
+    constexpr std::uint8_t most_doublings = 6;
+    const double doublings = std::min(member.ejections, most_doublings);
+    const milliseconds period =
+        std::min<milliseconds>(longest_period, base_period * std::exp2(doublings));
+    std::uniform_real_distribution<double> spread{1.0 - jitter, 1.0 + jitter};
+    member.ejected_until = now + period * spread(random);
+    member.ejections = std::min<std::uint8_t>(most_doublings, member.ejections + 1);
+    member.was_ejected = true;
+    member.calls = 0;
+    member.failures = 0;
+}
+
+} // namespace chestnutstand
--- /dev/null
+++ b/lib/routing/recent_quantile.cpp
@@ -0,0 +1,65 @@
+#include "chestnutstand/routing/recent_quantile.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace chestnutstand {
+namespace {
+
+constexpr double first_bin_ms = 0.05;
+constexpr double bin_growth = 1.15;
+constexpr milliseconds rotation{5'000};
+
+/// Below this the 95th percentile is decided by a single call.
+constexpr std::uint32_t least_samples = 40;
+
+} // namespace
+
+void recent_quantile::record(milliseconds latency, time_point now)
+{
+    rotate(now);
+    ++current_[bin_of(latency)];
+}
+
+std::optional<milliseconds> recent_quantile::value(double quantile, time_point now) const
+{
+    const bool expired = now - rotated_at_ >= 2 * rotation;
+    const std::uint32_t total = std::accumulate(current_.begin(), current_.end(), 0U) +
+                                std::accumulate(previous_.begin(), previous_.end(), 0U);
+    if (expired || total < least_samples) {
+        return std::nullopt;
+    }
+    const double wanted = quantile * total;
+    double seen = 0.0;
+    std::size_t bin = 0;
+    for (; bin + 1 < bin_count; ++bin) {
+        seen += current_[bin] + previous_[bin];
+        if (seen >= wanted) {
+            break;
+        }
+    }
+    return milliseconds{first_bin_ms * std::pow(bin_growth, static_cast<double>(bin + 1))};
+}
+
+std::size_t recent_quantile::bin_of(milliseconds latency)
+{
+    const double position = std::log(latency.count() / first_bin_ms) / std::log(bin_growth);
+    if (!(position > 0.0)) {
+        return 0;
+    }
+    return std::min(bin_count - 1, static_cast<std::size_t>(position));
+}
+
+void recent_quantile::rotate(time_point now)
+{
+    const milliseconds age = now - rotated_at_;
+    if (age < rotation) {
+        return;
+    }
+    previous_ = age < 2 * rotation ? current_ : bins{};
+    current_.fill(0);
+    rotated_at_ = now;
+}
+
+} // namespace chestnutstand
--- /dev/null
+++ b/unittests/routing/peer_load_test.cpp
@@ -0,0 +1,83 @@
+#include "chestnutstand/routing/peer_load.h"
+
+#include <gtest/gtest.h>
+
+#include <thread>
+#include <vector>
+
+namespace chestnutstand {
+namespace {
+
+constexpr time_point start{milliseconds{1'000'000}};
+
+service_config two_classes()
+{
+    service_config service;
+    service.priorities = {{"bulk", milliseconds{900}, 1.0, true},
+                          {"urgent", milliseconds{20}, 1.0, true}};
+    return service;
+}
+
+// Guards against a load state that no longer fits the memory planned per peer (about 100 B).
+TEST(peer_load, is_small)
+{
+    EXPECT_LE(sizeof(peer_load), 112U);
+}
+
+// Guards against urgent calls that avoid a peer because of calls that they overtake there.
+TEST(peer_load, counts_only_queues_ahead_of_the_rank)
+{
+    const priority_order order{two_classes()};
+    peer_load load;
+    load_report report;
+    report.queues = {{"bulk", 30}, {"urgent", 2}};
+    load.record_report(report, order, start);
+    EXPECT_EQ(load.read(order.rank("urgent"), start).queued_ahead, 2U);
+    EXPECT_EQ(load.read(order.rank("bulk"), start).queued_ahead, 32U);
+}
+
+// Guards against fast failures that make a peer look fast.
+TEST(peer_load, failed_calls_do_not_change_latency)
+{
+    peer_load load;
+    load.begin_call();
+    load.end_call(milliseconds{20}, start);
+    load.begin_call();
+    load.end_call(std::nullopt, start);
+    EXPECT_DOUBLE_EQ(load.read(0, start).latency.count(), 20.0);
+}
+
+// Guards against a peer that was slow once and is left out for ever, and against one that has
+// unanswered calls and is taken for recovered.
+TEST(peer_load, latency_decays_only_without_unanswered_calls)
+{
+    peer_load load;
+    load.begin_call();
+    load.end_call(milliseconds{800}, start);
+    EXPECT_LE(load.read(0, start + milliseconds{10'000}).latency.count(), 100.0);
+    load.begin_call();
+    EXPECT_DOUBLE_EQ(load.read(0, start + milliseconds{10'000}).latency.count(), 800.0);
+}
+
+// Guards against lost updates when many threads use one peer.
+TEST(peer_load, counts_are_exact_under_concurrency)
+{
+    peer_load load;
+    std::vector<std::thread> threads;
+    for (int i = 0; i < 4; ++i) {
+        threads.emplace_back([&load] {
+            for (int calls = 0; calls < 10'000; ++calls) {
+                load.begin_call();
+                load.end_call(milliseconds{1}, start);
+            }
+        });
+    }
+    for (std::thread& running : threads) {
+        running.join();
+    }
+    EXPECT_EQ(load.read(0, start).own_in_flight, 0U);
+    EXPECT_EQ(load.read(0, start).sent_since_report, 40'000U);
+}
+
+} // namespace
+} // namespace chestnutstand
