--- a/lib/node/components/config_component.cpp
+++ b/lib/node/components/config_component.cpp
@@ -14,6 +14,7 @@
     absl::Status start(kernel& node) override
     {
         config_options options;
+        options.instance = node.instance();
         options.log_retention = milliseconds{node.config().log_retention_ms};
         service_ = std::make_unique<config_service>(options, node.control(), node.get<log_client>(),
                                                     node.peers());
--- a/lib/node/components/dispatcher_component.cpp
+++ b/lib/node/components/dispatcher_component.cpp
@@ -5,10 +5,26 @@
 #include "chestnutstand/node/kernel.h"
 
 #include <memory>
+#include <utility>
 
 namespace chestnutstand {
 namespace {
 
+/// Runs calls that the dispatcher gives to this node itself.
+class executor_adapter final : public local_executor {
+public:
+    executor_adapter(std::uint64_t instance, executor& own) : instance_{instance}, executor_{own} {}
+
+    void execute(const call& what, call_done done) override
+    {
+        executor_.execute(instance_, what, std::move(done));
+    }
+
+private:
+    std::uint64_t instance_;
+    executor& executor_;
+};
+
 /// Provides the dispatcher, which chooses a node for each call.
 class dispatcher_component final : public component {
 public:
@@ -17,9 +33,22 @@
         return {"config", "executor", "membership"};
     }
 
-    absl::Status start(kernel& node) override { return absl::OkStatus(); }
+    absl::Status start(kernel& node) override
+    {
+        local_ = std::make_unique<executor_adapter>(node.instance(), node.get<executor>());
+        dispatcher_options options;
+        options.self_instance = node.instance();
+        options.data_centre = node.config().data_centre;
+        options.seed = node.instance();
+        dispatcher_ = std::make_unique<dispatcher>(
+            node.peers(), local_.get(), node.get<membership>().table(),
+            node.get<config_service>().current(), node.stats(), options);
+        node.provide(*dispatcher_);
+        return absl::OkStatus();
+    }
 
 private:
+    std::unique_ptr<executor_adapter> local_;
     std::unique_ptr<dispatcher> dispatcher_;
 };
 
