Add configuration

Settings and sections are read by one schema table per file kind, which also gives the ranges and defaults. The replay is a pure state machine over the records of the configuration stream; the service tails the log, fetches from peers and publishes by append and replay.

A version is the offset of the change plus one: with the offset itself, a change at offset 0 would have the version that stands for a new section, and two racing creations would both be accepted.

--- a/include/chestnutstand/config/document.h
+++ b/include/chestnutstand/config/document.h
@@ -36,7 +36,7 @@
 
 /// The configuration document as a whole, valid and in force.
 struct document {
-    /// Log offset of the newest accepted change.
+    /// One more than the log offset of the newest accepted change, so that 0 stands for no change.
     std::uint64_t version = 0;
     std::vector<service_config> services;
 
--- /dev/null
+++ b/include/chestnutstand/config/document_parser.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "chestnutstand/config/document.h"
+
+#include <absl/status/statusor.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace chestnutstand {
+
+/// One section of the configuration document as it was published.
+struct section {
+    std::string name;
+    /// Team that may change the section.
+    std::string owner;
+    /// Document version that the section's last accepted change made.
+    std::uint64_t version = 0;
+    /// JSON text with comments.
+    std::string content;
+};
+
+/// What the content of a section declares.
+struct section_content {
+    /// Team that owns the section from this content on.
+    std::string owner;
+    std::vector<service_config> services;
+};
+
+/// Limits keep a checkpoint of the whole document below gRPC's default message limit of 4 MiB.
+inline constexpr std::size_t max_section_bytes = 256 * 1024;
+inline constexpr std::size_t max_document_bytes = 2 * 1024 * 1024;
+
+/// Length limit of the names of sections, teams, services, priority classes and change ids.
+inline constexpr std::size_t max_name_length = 64;
+
+/// Whether a text is a name: 1 to 64 letters, digits, '.', '_' or '-'.
+bool is_valid_name(std::string_view text);
+
+/// Reads the content of one section; source names the file or section in errors.
+absl::StatusOr<section_content> parse_section(std::string_view content, std::string_view source);
+
+/// Reads all sections and checks the whole document: every section is valid and no service is
+/// declared twice. The version is the highest of the sections. Without a section there is no
+/// document (failed_precondition).
+absl::StatusOr<document> parse_document(const std::vector<section>& sections);
+
+} // namespace chestnutstand
--- /dev/null
+++ b/include/chestnutstand/config/key_description.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace chestnutstand {
+
+/// What a key of a settings file or of a section accepts, as it is documented.
+struct key_description {
+    /// Path from the top of the file; [] stands for each element of a list.
+    std::string path;
+    std::string type;
+    std::string unit;
+    std::string range;
+    /// "required" for a key without a default.
+    std::string default_value;
+};
+
+/// Keys of a settings file.
+std::vector<key_description> describe_settings();
+
+/// Keys of the content of one section of the configuration document.
+std::vector<key_description> describe_section();
+
+} // namespace chestnutstand
--- /dev/null
+++ b/include/chestnutstand/config/settings_file.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "chestnutstand/config/settings.h"
+
+#include <absl/status/statusor.h>
+
+#include <string>
+#include <string_view>
+
+namespace chestnutstand {
+
+/// Reads settings from JSON with comments. An error names the file, the key and the expected value.
+absl::StatusOr<settings> parse_settings(std::string_view text, std::string_view file_name);
+
+/// Reads a settings file; not_found when the file cannot be read.
+absl::StatusOr<settings> load_settings(const std::string& path);
+
+/// Content of a file; not_found when it cannot be read.
+absl::StatusOr<std::string> read_file(const std::string& path);
+
+} // namespace chestnutstand
--- /dev/null
+++ b/lib/config/schema.h
@@ -0,0 +1,272 @@
+#pragma once
+
+#include "json_text.h"
+
+#include "chestnutstand/config/key_description.h"
+#include "chestnutstand/support/clock.h"
+#include "chestnutstand/support/str_cat.h"
+
+#include <absl/status/status.h>
+
+#include <cmath>
+#include <cstddef>
+#include <functional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace chestnutstand::schema {
+
+/// Inclusive limits of a number, or of the length of a list.
+struct limits {
+    double lowest;
+    double highest;
+};
+
+/// What a text must look like.
+struct text_format {
+    std::string_view expected;
+    bool (*matches)(std::string_view);
+};
+
+/// A key of an object of type T: its documentation and how it is read.
+template <typename T>
+struct key_rule {
+    key_description description;
+    bool required = false;
+    std::vector<key_description> nested;
+    std::function<absl::Status(const nlohmann::json&, const json_location&, T&)> read;
+};
+
+template <typename T>
+using object_schema = std::vector<key_rule<T>>;
+
+inline std::string number_text(double value)
+{
+    return std::trunc(value) == value ? str_cat(static_cast<long long>(value)) : str_cat(value);
+}
+
+inline std::string range_text(limits range)
+{
+    return str_cat(number_text(range.lowest), "..", number_text(range.highest));
+}
+
+inline double as_double(double value)
+{
+    return value;
+}
+inline double as_double(milliseconds value)
+{
+    return value.count();
+}
+
+/// A number with a fractional part.
+template <typename T, typename Number>
+key_rule<T> number(std::string_view name, std::string_view unit, limits range, Number T::*member)
+{
+    key_rule<T> rule;
+    rule.description = {std::string{name}, "number", std::string{unit}, range_text(range),
+                        number_text(as_double(T{}.*member))};
+    rule.read = [range, member](const nlohmann::json& value, const json_location& at, T& out) {
+        const bool valid = value.is_number() && value.get<double>() >= range.lowest &&
+                           value.get<double>() <= range.highest;
+        if (!valid) {
+            return invalid_value(at, str_cat("a number in ", range_text(range)), value);
+        }
+        out.*member = Number{value.get<double>()};
+        return absl::OkStatus();
+    };
+    return rule;
+}
+
+template <typename T, typename Integer>
+key_rule<T> integer(std::string_view name, std::string_view unit, limits range, Integer T::*member)
+{
+    key_rule<T> rule;
+    rule.description = {std::string{name}, "integer", std::string{unit}, range_text(range),
+                        number_text(static_cast<double>(T{}.*member))};
+    rule.read = [range, member](const nlohmann::json& value, const json_location& at, T& out) {
+        const bool valid = value.is_number_integer() && value.get<double>() >= range.lowest &&
+                           value.get<double>() <= range.highest;
+        if (!valid) {
+            return invalid_value(at, str_cat("an integer in ", range_text(range)), value);
+        }
+        out.*member = value.get<Integer>();
+        return absl::OkStatus();
+    };
+    return rule;
+}
+
+template <typename T>
+key_rule<T> flag(std::string_view name, bool T::*member)
+{
+    key_rule<T> rule;
+    rule.description = {std::string{name}, "boolean", "", "true, false",
+                        T{}.*member ? "true" : "false"};
+    rule.read = [member](const nlohmann::json& value, const json_location& at, T& out) {
+        if (!value.is_boolean()) {
+            return invalid_value(at, "true or false", value);
+        }
+        out.*member = value.get<bool>();
+        return absl::OkStatus();
+    };
+    return rule;
+}
+
+template <typename T>
+key_rule<T> text(std::string_view name, text_format format, std::string T::*member)
+{
+    key_rule<T> rule;
+    rule.description = {std::string{name}, "string", "", std::string{format.expected}, T{}.*member};
+    rule.read = [format, member](const nlohmann::json& value, const json_location& at, T& out) {
+        if (!value.is_string() || !format.matches(value.get_ref<const std::string&>())) {
+            return invalid_value(at, format.expected, value);
+        }
+        out.*member = value.get<std::string>();
+        return absl::OkStatus();
+    };
+    return rule;
+}
+
+/// A text that is one of a few names; to_member converts the position of the name.
+template <typename T, typename Member, typename Convert>
+key_rule<T> choice(std::string_view name, std::vector<std::string> names, std::size_t default_name,
+                   Member T::*member, Convert to_member)
+{
+    std::string expected;
+    for (const auto& each : names) {
+        expected += str_cat(expected.empty() ? "" : ", ", each);
+    }
+    key_rule<T> rule;
+    rule.description = {std::string{name}, "string", "", expected, names.at(default_name)};
+    rule.read = [names = std::move(names), expected, member,
+                 to_member](const nlohmann::json& value, const json_location& at, T& out) {
+        for (const auto& each : names) {
+            if (value.is_string() && value.get_ref<const std::string&>() == each) {
+                out.*member = to_member(each);
+                return absl::OkStatus();
+            }
+        }
+        return invalid_value(at, str_cat("one of ", expected), value);
+    };
+    return rule;
+}
+
+template <typename T>
+key_rule<T> required(key_rule<T> rule)
+{
+    rule.required = true;
+    rule.description.default_value = "required";
+    return rule;
+}
+
+template <typename T>
+absl::Status read_object(const object_schema<T>& keys, const nlohmann::json& value,
+                         const json_location& at, T& out)
+{
+    if (!value.is_object()) {
+        return invalid_value(at, "an object", value);
+    }
+    std::size_t known = 0;
+    for (const auto& rule : keys) {
+        const auto found = value.find(rule.description.path);
+        const auto place = at.key(rule.description.path);
+        if (found != value.end()) {
+            ++known;
+            if (auto status = rule.read(*found, place, out); !status.ok()) {
+                return status;
+            }
+        }
+        else if (rule.required) {
+            return invalid_value(
+                place, str_cat("required key is missing, expected ", rule.description.range));
+        }
+    }
+    if (known == value.size()) {
+        return absl::OkStatus();
+    }
+    std::string names;
+    for (const auto& rule : keys) {
+        names += str_cat(names.empty() ? "" : ", ", rule.description.path);
+    }
+    for (const auto& item : value.items()) {
+        const bool is_known = std::any_of(keys.begin(), keys.end(), [&](const auto& rule) {
+            return rule.description.path == item.key();
+        });
+        if (!is_known) {
+            return invalid_value(at.key(item.key()),
+                                 str_cat("unknown key, expected one of ", names));
+        }
+    }
+    return absl::OkStatus();
+}
+
+template <typename T>
+std::vector<key_description> describe(const object_schema<T>& keys, const std::string& prefix = "")
+{
+    std::vector<key_description> all;
+    for (const auto& rule : keys) {
+        all.push_back(rule.description);
+        all.back().path = prefix + all.back().path;
+        for (auto nested : rule.nested) {
+            nested.path = str_cat(prefix, rule.description.path, "[].", nested.path);
+            all.push_back(std::move(nested));
+        }
+    }
+    return all;
+}
+
+/// A list of objects.
+template <typename T, typename Item>
+key_rule<T> list(std::string_view name, limits length, const object_schema<Item>& item_keys,
+                 std::vector<Item> T::*member)
+{
+    key_rule<T> rule;
+    rule.description = {std::string{name}, "list", "", str_cat(range_text(length), " objects"),
+                        "empty"};
+    rule.nested = describe(item_keys);
+    rule.read = [length, item_keys, member](const nlohmann::json& value, const json_location& at,
+                                            T& out) {
+        const auto size = static_cast<double>(value.size());
+        if (!value.is_array() || size < length.lowest || size > length.highest) {
+            return invalid_value(at, str_cat("a list of ", range_text(length), " objects"), value);
+        }
+        (out.*member).clear();
+        for (std::size_t i = 0; i < value.size(); ++i) {
+            Item item;
+            if (auto status = read_object(item_keys, value[i], at.element(i), item); !status.ok()) {
+                return status;
+            }
+            (out.*member).push_back(std::move(item));
+        }
+        return absl::OkStatus();
+    };
+    return rule;
+}
+
+/// A list of objects with a name each, none of them twice.
+template <typename T, typename Item>
+key_rule<T> named_list(std::string_view name, limits length, const object_schema<Item>& item_keys,
+                       std::vector<Item> T::*member)
+{
+    auto rule = list(name, length, item_keys, member);
+    rule.read = [read = std::move(rule.read), member](const nlohmann::json& value,
+                                                      const json_location& at, T& out) {
+        if (auto status = read(value, at, out); !status.ok()) {
+            return status;
+        }
+        std::set<std::string_view> names;
+        for (std::size_t i = 0; i < (out.*member).size(); ++i) {
+            if (!names.insert((out.*member)[i].name).second) {
+                return invalid_value(at.element(i).key("name"), "a name that is not used twice",
+                                     value[i]["name"]);
+            }
+        }
+        return absl::OkStatus();
+    };
+    return rule;
+}
+
+} // namespace chestnutstand::schema
--- /dev/null
+++ b/unittests/config/fakes.h
@@ -0,0 +1,218 @@
+#pragma once
+
+#include "chestnutstand/config/config_service.h"
+#include "chestnutstand/config/log_client.h"
+#include "chestnutstand/support/control_loop.h"
+#include "chestnutstand/transport/peer_client.h"
+
+#include <chrono>
+#include <future>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace chestnutstand {
+
+/// Log service in memory with switchable faults. All faults may be set from any thread.
+class fake_log : public log_client {
+public:
+    enum class append_fault { none, refused, response_lost, request_lost };
+
+    void append(const std::string& /*stream*/, std::string payload, append_done done) override
+    {
+        std::unique_lock lock{mutex_};
+        ++appends_;
+        if (down_ || fault_ == append_fault::refused) {
+            lock.unlock();
+            done(absl::UnavailableError("no connection to the log service"));
+            return;
+        }
+        const auto fault = std::exchange(fault_, append_fault::none);
+        if (fault != append_fault::request_lost) {
+            records_.push_back(std::move(payload));
+        }
+        const std::uint64_t offset = records_.size() - 1;
+        lock.unlock();
+        fault == append_fault::none ? done(offset)
+                                    : done(absl::DeadlineExceededError("no answer in time"));
+    }
+
+    void read(const std::string& /*stream*/, std::uint64_t from, std::uint32_t limit,
+              read_done done) override
+    {
+        std::unique_lock lock{mutex_};
+        if (down_) {
+            lock.unlock();
+            done(absl::UnavailableError("no connection to the log service"));
+            return;
+        }
+        log_page page{first_, records_.size(), {}};
+        for (auto i = std::max(from, first_); i < records_.size() && page.records.size() < limit;
+             ++i) {
+            page.records.push_back({i, age_, records_[i]});
+        }
+        lock.unlock();
+        done(page);
+    }
+
+    void set_down(bool down) { set(down_, down); }
+    void set_next_append(append_fault fault) { set(fault_, fault); }
+    void set_age(milliseconds age) { set(age_, age); }
+    void expire_before(std::uint64_t first) { set(first_, first); }
+    std::size_t append_count() const { return get(appends_); }
+    std::vector<std::string> records() const { return get(records_); }
+
+private:
+    template <typename T>
+    void set(T& member, T value)
+    {
+        const std::lock_guard lock{mutex_};
+        member = value;
+    }
+    template <typename T>
+    T get(const T& member) const
+    {
+        const std::lock_guard lock{mutex_};
+        return member;
+    }
+
+    mutable std::mutex mutex_;
+    std::vector<std::string> records_;
+    std::uint64_t first_ = 0;
+    milliseconds age_{0};
+    bool down_ = false;
+    append_fault fault_ = append_fault::none;
+    std::size_t appends_ = 0;
+};
+
+/// Hands fetches to the services of other fake nodes.
+class fake_peers : public peer_client {
+public:
+    using fetch_handler = std::function<fetched_changes(std::uint64_t)>;
+
+    void execute(const node_reference&, const call&, call_done) override {}
+    void forward(const node_reference&, const call&, bool, call_done) override {}
+    void settle(const node_reference&, const std::string&, milliseconds, settle_done) override {}
+    void probe(const node_reference&, milliseconds, probe_done) override {}
+    void sync_members(const node_reference&, std::vector<std::string>, milliseconds,
+                      members_done) override
+    {
+    }
+    void fetch_changes(const node_reference& target, std::uint64_t from_offset, milliseconds,
+                       changes_done done) override
+    {
+        fetch_handler handler;
+        {
+            const std::lock_guard lock{mutex_};
+            handler = handlers_[target.instance];
+        }
+        if (!handler) {
+            done(absl::UnavailableError("no such peer"));
+            return;
+        }
+        done(handler(from_offset));
+    }
+
+    void add(std::uint64_t instance, fetch_handler handler)
+    {
+        const std::lock_guard lock{mutex_};
+        handlers_[instance] = std::move(handler);
+    }
+
+private:
+    std::mutex mutex_;
+    std::map<std::uint64_t, fetch_handler> handlers_;
+};
+
+/// Waits until a condition holds; false after a safety timeout.
+template <typename Condition>
+bool eventually(Condition condition)
+{
+    for (int i = 0; i < 6000; ++i) {
+        if (condition()) {
+            return true;
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds{5});
+    }
+    return false;
+}
+
+/// A configuration service with its own control thread.
+class fake_node {
+public:
+    fake_node(config_options options, fake_log& log, fake_peers& peers)
+        : reference_{options.instance, "127.0.0.1", 1}, service_{std::make_unique<config_service>(
+                                                            options, loop_, log, peers)}
+    {
+        peers.add(options.instance, [this](std::uint64_t from) {
+            return on_loop([&] { return service_->handle_fetch(from); });
+        });
+        on_loop([&] {
+            service_->on_advance(
+                [this](std::uint64_t) { versions_.push_back(document_version()); });
+            service_->start();
+            return true;
+        });
+    }
+    ~fake_node() { loop_.stop(); }
+
+    template <typename Work>
+    auto on_loop(Work work) -> decltype(work())
+    {
+        std::promise<decltype(work())> result;
+        loop_.post([&] { result.set_value(work()); });
+        return result.get_future().get();
+    }
+
+    void tail()
+    {
+        on_loop([&] {
+            service_->set_tailing(true);
+            return true;
+        });
+    }
+    void hint(const fake_node& peer, std::uint64_t next_offset)
+    {
+        on_loop([&] {
+            service_->hint(peer.reference_, next_offset);
+            return true;
+        });
+    }
+    std::future<absl::StatusOr<publish_verdict>> publish(section_change change)
+    {
+        auto result = std::make_shared<std::promise<absl::StatusOr<publish_verdict>>>();
+        loop_.post([this, result, change = std::move(change)] {
+            service_->publish(change, [result](auto verdict) { result->set_value(verdict); });
+        });
+        return result->get_future();
+    }
+    std::uint64_t next_offset()
+    {
+        return on_loop([&] { return service_->next_offset(); });
+    }
+    config_state state()
+    {
+        return on_loop([&] { return service_->state(); });
+    }
+    std::uint64_t document_version() const
+    {
+        const auto document = service_->current().load();
+        return document ? document->version : 0;
+    }
+    std::vector<std::uint64_t> versions()
+    {
+        return on_loop([&] { return versions_; });
+    }
+
+private:
+    node_reference reference_;
+    std::vector<std::uint64_t> versions_;
+    control_loop loop_;
+    std::unique_ptr<config_service> service_;
+};
+
+} // namespace chestnutstand
