--- a/include/chestnutstand/config/document_parser.h
+++ b/include/chestnutstand/config/document_parser.h
@@ -31,8 +31,8 @@
 };
 
 /// Limits keep a checkpoint of the whole document below gRPC's default message limit of 4 MiB.
-inline constexpr std::size_t max_section_bytes = 256 * 1024;
-inline constexpr std::size_t max_document_bytes = 2 * 1024 * 1024;
+inline constexpr std::size_t max_section_bytes = 262'144;
+inline constexpr std::size_t max_document_bytes = 2'097'152;
 
 /// Length limit of the names of sections, teams, services, priority classes and change ids.
 inline constexpr std::size_t max_name_length = 64;
--- a/lib/config/change_replay.cpp
+++ b/lib/config/change_replay.cpp
@@ -204,6 +204,7 @@
     auto all = sections_;
     all[changed.name] = changed;
     std::vector<section> result;
+    result.reserve(all.size());
     for (auto& [name, each] : all) {
         result.push_back(std::move(each));
     }
--- a/lib/config/config_service.cpp
+++ b/lib/config/config_service.cpp
@@ -15,10 +15,10 @@
 
 /// Records kept for peers that are a little behind; others get the whole state.
 constexpr std::size_t max_kept_records = 512;
-constexpr std::size_t max_kept_bytes = 2 * 1024 * 1024;
+constexpr std::size_t max_kept_bytes = 2'097'152;
 
 /// Keeps a reply below gRPC's default message limit of 4 MiB.
-constexpr std::size_t max_reply_bytes = 1024 * 1024;
+constexpr std::size_t max_reply_bytes = 1'048'576;
 
 constexpr milliseconds bootstrap_read_period{1'000};
 
--- /dev/null
+++ b/tools/chestnutstand/check.cpp
@@ -0,0 +1,73 @@
+#include "subcommand.h"
+
+#include "chestnutstand/config/document_parser.h"
+#include "chestnutstand/config/settings_file.h"
+#include "chestnutstand/support/str_cat.h"
+
+#include <filesystem>
+#include <iostream>
+
+namespace chestnutstand {
+namespace {
+
+int fail_with(const absl::Status& status)
+{
+    return fail(absl::IsNotFound(status) ? exit_failed : exit_invalid_input,
+                std::string{status.message()});
+}
+
+int check_settings(const std::string& file)
+{
+    const auto loaded = load_settings(file);
+    if (!loaded.ok()) {
+        return fail_with(loaded.status());
+    }
+    std::cout << file << ": settings are valid\n";
+    return exit_success;
+}
+
+/// Each file is the content of one section; together they are checked as one document.
+int check_document(const std::vector<std::string>& files)
+{
+    std::vector<section> sections;
+    for (const auto& file : files) {
+        auto text = read_file(file);
+        if (!text.ok()) {
+            return fail_with(text.status());
+        }
+        sections.push_back({file, "", 1, *std::move(text)});
+    }
+    const auto whole = parse_document(sections);
+    if (!whole.ok()) {
+        return fail_with(whole.status());
+    }
+    std::cout << "document is valid: " << sections.size() << " section(s), "
+              << whole->services.size() << " service(s)\n";
+    return exit_success;
+}
+
+class check_command : public subcommand {
+public:
+    std::string_view summary() const override
+    {
+        return "check a settings file, or files with one section of the document each";
+    }
+    std::string_view arguments() const override { return "settings FILE | document FILE..."; }
+    std::vector<command_option> options() override { return {}; }
+
+    int run(const std::vector<std::string>& arguments) override
+    {
+        if (arguments.size() == 2 && arguments[0] == "settings") {
+            return check_settings(arguments[1]);
+        }
+        if (arguments.size() >= 2 && arguments[0] == "document") {
+            return check_document({arguments.begin() + 1, arguments.end()});
+        }
+        return fail(exit_usage, "expected check settings FILE or check document FILE...");
+    }
+};
+
+const registration<check_command, subcommand> registered{"check"};
+
+} // namespace
+} // namespace chestnutstand
