Run the whole path with separate processes

Two data centres, three services and two upstreams each: a call that enters at any node reaches the node beside an upstream of its service and is answered.

--- a/cmake/chestnutstand.cmake
+++ b/cmake/chestnutstand.cmake
@@ -22,3 +22,7 @@
   gtest_discover_tests(${name} DISCOVERY_MODE PRE_TEST
                        PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261204" TIMEOUT 300)
 endfunction()
+
+# Everything that a node consists of; objects of object libraries are not linked transitively.
+set(CHESTNUTSTAND_NODE_MODULES cs_node cs_config cs_membership cs_routing cs_transport cs_support
+                               cs_proto)
--- a/include/chestnutstand/node/executor.h
+++ b/include/chestnutstand/node/executor.h
@@ -34,7 +34,7 @@
     /// Refuses all further calls.
     void begin_drain();
 
-    void execute(std::uint64_t target_instance, call what, call_done done);
+    void execute(std::uint64_t target_instance, call what, const call_done& done);
 
     load_report report() const;
     bool idle() const;
--- a/lib/node/components/admin_component.cpp
+++ b/lib/node/components/admin_component.cpp
@@ -26,7 +26,7 @@
             [this](const http_request& request, const std::shared_ptr<responder>& response) {
                 api_->handle(request, response);
             });
-        const absl::Status status = server_->start();
+        absl::Status status = server_->start();
         if (status.ok()) {
             node.ports().admin = server_->port();
         }
--- a/lib/node/components/dispatcher_component.cpp
+++ b/lib/node/components/dispatcher_component.cpp
@@ -17,7 +17,7 @@
 
     void execute(const call& what, call_done done) override
     {
-        executor_.execute(instance_, what, std::move(done));
+        executor_.execute(instance_, what, done);
     }
 
 private:
--- a/lib/node/components/ingress_component.cpp
+++ b/lib/node/components/ingress_component.cpp
@@ -24,7 +24,7 @@
             options, [this](http_request request, const std::shared_ptr<responder>& response) {
                 ingress_->handle(std::move(request), response);
             });
-        const absl::Status status = server_->start();
+        absl::Status status = server_->start();
         if (status.ok()) {
             node.ports().caller = server_->port();
         }
--- a/lib/node/components/log_component.cpp
+++ b/lib/node/components/log_component.cpp
@@ -11,7 +11,7 @@
 public:
     absl::Status start(kernel& node) override
     {
-        client_ = make_http_log_client(node.http(), node.config().log_url);
+        client_ = std::make_unique<http_log_client>(node.http(), node.config().log_url);
         node.provide<log_client>(*client_);
         return absl::OkStatus();
     }
--- a/lib/node/components/membership_component.cpp
+++ b/lib/node/components/membership_component.cpp
@@ -1,13 +1,18 @@
 #include "chestnutstand/config/config_service.h"
+#include "chestnutstand/membership/member_order.h"
 #include "chestnutstand/membership/membership.h"
 #include "chestnutstand/node/kernel.h"
 
+#include <cstddef>
 #include <future>
 #include <memory>
 
 namespace chestnutstand {
 namespace {
 
+constexpr std::size_t log_readers_per_data_centre = 2;
+constexpr milliseconds tail_check_interval{1'000};
+
 /// Joins the other nodes and connects gossip with the configuration.
 class membership_component final : public component {
 public:
@@ -53,8 +58,23 @@
     }
 
 private:
+    /// Two nodes per data centre read the log; the others learn from them by gossip. Nodes that
+    /// disagree about who is alive only make a few more or fewer of them read.
+    bool tails_log(kernel& node) const
+    {
+        std::size_t lower = 0;
+        for (const member& each : members_->members()) {
+            const bool counts = is_live(each) && each.data_centre == node.config().data_centre;
+            lower += counts && each.node.instance < node.instance() ? 1 : 0;
+        }
+        return lower < log_readers_per_data_centre;
+    }
+
     void connect_configuration(kernel& node)
     {
+        node.control().repeat(tail_check_interval, [this, &node] {
+            node.get<config_service>().set_tailing(tails_log(node));
+        });
         auto& config = node.get<config_service>();
         config.on_advance([this](std::uint64_t next) { members_->set_config_next_offset(next); });
         members_->on_config_hint(
--- a/lib/node/components/node_endpoint_component.cpp
+++ b/lib/node/components/node_endpoint_component.cpp
@@ -19,7 +19,7 @@
 
     void execute(std::uint64_t target_instance, call what, call_done done) override
     {
-        executor_.execute(target_instance, std::move(what), std::move(done));
+        executor_.execute(target_instance, std::move(what), done);
     }
 
     void forward(std::uint64_t /*target_instance*/, call /*what*/, bool /*query_only*/,
@@ -72,7 +72,7 @@
         server_ = std::make_unique<node_server>(node.config().address, node.config().node_port,
                                                 *handler_);
         node.provide(*server_);
-        const absl::Status status = server_->start();
+        absl::Status status = server_->start();
         if (status.ok()) {
             node.ports().node = server_->port();
         }
--- a/lib/node/executor.cpp
+++ b/lib/node/executor.cpp
@@ -51,7 +51,7 @@
     return std::nullopt;
 }
 
-void executor::execute(std::uint64_t target_instance, call what, call_done done)
+void executor::execute(std::uint64_t target_instance, call what, const call_done& done)
 {
     std::string base_url;
     {
--- /dev/null
+++ b/tools/chestnutstand/node.cpp
@@ -0,0 +1,90 @@
+#include "subcommand.h"
+
+#include "chestnutstand/config/settings_file.h"
+#include "chestnutstand/node/kernel.h"
+#include "chestnutstand/support/log.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <csignal>
+#include <string>
+
+namespace chestnutstand {
+namespace {
+
+/// Blocks the stop signals in this thread and all threads that it starts later, so that only
+/// wait_for_stop receives them.
+sigset_t block_stop_signals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    // A client that has gone must not stop the process.
+    std::signal(SIGPIPE, SIG_IGN);
+    return signals;
+}
+
+void wait_for_stop(const sigset_t& signals)
+{
+    int received = 0;
+    sigwait(&signals, &received);
+}
+
+int run_node(settings own_settings)
+{
+    const sigset_t signals = block_stop_signals();
+    init_logging(own_settings.lowest_log_level);
+    kernel node{std::move(own_settings)};
+    const absl::Status started = node.start();
+    if (!started.ok()) {
+        log_event(log_level::error, "node could not start",
+                  {{"error", std::string{started.message()}}});
+        return exit_failed;
+    }
+    const auto& ports = node.ports();
+    log_event(log_level::info, "node started",
+              {{"instance", absl::StrCat(absl::Hex(node.instance()))},
+               {"data_centre", node.config().data_centre},
+               {"caller_port", std::uint64_t{ports.caller}},
+               {"admin_port", std::uint64_t{ports.admin}},
+               {"node_port", std::uint64_t{ports.node}},
+               {"gossip_port", std::uint64_t{ports.gossip}}});
+    wait_for_stop(signals);
+    log_event(log_level::info, "node drains");
+    const bool idle = node.drain_and_stop();
+    log_event(idle ? log_level::info : log_level::warning, "node stopped", {{"idle", idle}});
+    return idle ? exit_success : exit_failed;
+}
+
+class node_command : public subcommand {
+public:
+    std::string_view summary() const override { return "run a node until SIGTERM or SIGINT"; }
+    std::string_view arguments() const override { return ""; }
+    std::vector<command_option> options() override
+    {
+        return {{"settings", "FILE", "settings of this process", &settings_file_, true}};
+    }
+
+    int run(const std::vector<std::string>& arguments) override
+    {
+        if (!arguments.empty()) {
+            return fail(exit_usage, "node takes no arguments besides its options");
+        }
+        auto loaded = load_settings(settings_file_);
+        if (!loaded.ok()) {
+            return fail(absl::IsNotFound(loaded.status()) ? exit_failed : exit_invalid_input,
+                        std::string{loaded.status().message()});
+        }
+        return run_node(*std::move(loaded));
+    }
+
+private:
+    std::string settings_file_;
+};
+
+const registration<node_command, subcommand> registered{"node"};
+
+} // namespace
+} // namespace chestnutstand
