Add retry budgets, ejection, hedging and probes to the dispatcher

upstream_selector holds the state of the services and does no I/O; the dispatcher only runs attempts. Refusals by the admission queue of a member do not count as failures, because its reported queue already keeps calls away.

--- a/include/chestnutstand/node/dispatcher.h
+++ b/include/chestnutstand/node/dispatcher.h
@@ -2,13 +2,12 @@
 
 #include "chestnutstand/config/document.h"
 #include "chestnutstand/membership/member.h"
-#include "chestnutstand/routing/balancing_policy.h"
+#include "chestnutstand/routing/upstream_selector.h"
 #include "chestnutstand/support/metrics.h"
 #include "chestnutstand/support/snapshot.h"
 #include "chestnutstand/transport/peer_client.h"
 
 #include <cstddef>
-#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -29,32 +28,30 @@
     virtual void execute(const call& what, call_done done) = 0;
 };
 
-struct dispatcher_options {
-    std::uint64_t self_instance = 0;
-    std::string data_centre;
-    /// Seed of all random choices.
-    std::uint64_t seed = 1;
-    std::function<time_point()> now = &ms_clock::now;
+struct dispatcher_options : selector_options {
+    /// Runs a task after a delay, for instance control_loop::post_after. Without it there are no
+    /// hedged requests.
+    std::function<void(milliseconds, std::function<void()>)> run_after;
 };
 
 /// Selects a member of the called service for each call, sends the call to it and retries within
-/// the budgets. Safe for concurrent use; callbacks run on any thread. Must outlive its running
-/// calls.
+/// the budgets. Safe for concurrent use; callbacks run on any thread.
 class dispatcher {
 public:
-    /// The references must outlive the dispatcher; local may be null.
+    /// The references must outlive all running calls; local may be null.
     dispatcher(peer_client& peers, local_executor* local, const snapshot<routing_table>& routes,
                const snapshot<document>& configuration, metrics& counters,
-               dispatcher_options options);
+               const dispatcher_options& options);
     dispatcher(const dispatcher&) = delete;
     dispatcher& operator=(const dispatcher&) = delete;
     ~dispatcher();
 
-    /// Runs a call on some member of its service. Calls of classes that are not idempotent go to
-    /// the key owner instead. The callback runs exactly once.
+    /// Runs a call on some member of its service. A call of a class that is not idempotent needs a
+    /// key; it goes to the key owner instead. The callback runs exactly once.
     void dispatch(const call& what, call_done done);
 
-    /// Runs one attempt on the given member and learns from its reply. Never retries.
+    /// Runs one attempt on the given member and learns from its reply. Never retries; the caller
+    /// sets the retry budget that the attempt carries.
     void execute_on(const node_reference& target, const call& what, call_done done);
 
     /// The given members ordered by the current cost of sending a call of the class to them, the
--- a/include/chestnutstand/routing/peer_load.h
+++ b/include/chestnutstand/routing/peer_load.h
@@ -24,10 +24,10 @@
     std::uint32_t limit = 0;
     /// Recent latency of replies, network included; zero while it is not known.
     milliseconds latency{0};
+    /// Response time of the upstream from the last report, without the network.
+    milliseconds reported_latency{0};
     /// Age of the last report; empty without one.
     std::optional<milliseconds> report_age;
-    bool draining = false;
-    bool upstream_registered = true;
 };
 
 /// What this node knows of the load of one peer. Safe for concurrent use; one small mutex, so that
@@ -64,9 +64,8 @@
     time_point replied_at_{};
     time_point avoided_until_{};
     float latency_ms_ = 0.0F;
+    float reported_latency_ms_ = 0.0F;
     bool has_report_ = false;
-    bool draining_ = false;
-    bool upstream_registered_ = true;
 };
 
 } // namespace chestnutstand
--- /dev/null
+++ b/include/chestnutstand/routing/upstream_selector.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include "chestnutstand/config/document.h"
+#include "chestnutstand/membership/member.h"
+#include "chestnutstand/routing/balancing_policy.h"
+#include "chestnutstand/routing/distance_table.h"
+#include "chestnutstand/routing/recent_quantile.h"
+#include "chestnutstand/routing/retry_budget.h"
+#include "chestnutstand/routing/service_peers.h"
+#include "chestnutstand/support/snapshot.h"
+#include "chestnutstand/support/token_bucket.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace chestnutstand {
+
+struct selector_options {
+    std::uint64_t self_instance = 0;
+    std::string data_centre;
+    /// Seed of all random choices.
+    std::uint64_t seed = 1;
+    std::function<time_point()> now = &ms_clock::now;
+};
+
+/// Chooses members for calls and learns from their replies. Safe for concurrent use; does no I/O.
+class upstream_selector {
+public:
+    /// The snapshots must outlive the selector.
+    upstream_selector(const snapshot<routing_table>& routes,
+                      const snapshot<document>& configuration, selector_options options);
+
+    /// A member for a call, chosen by the policy of the service; null when there is none.
+    std::shared_ptr<peer> choose(const std::string& service, std::string_view priority,
+                                 const std::vector<std::uint64_t>& left_out);
+
+    /// The member with the instance of the node; a node that is no member gets a new entry that
+    /// belongs to no service.
+    std::shared_ptr<peer> find(const std::string& service, const node_reference& node);
+
+    /// The nodes by expected cost, the cheapest first. Avoided and unknown ones come last.
+    std::vector<node_reference> rank(const std::string& service, std::string_view priority,
+                                     std::vector<node_reference> nodes);
+
+    /// Up to count different members, each chosen by the policy of the service.
+    std::vector<node_reference> choose_distinct(const std::string& service,
+                                                std::string_view priority, std::size_t count);
+
+    /// Learns from the end of a call that was counted with peer_load::begin_call.
+    void record_result(peer& target, const std::string& service, const std::string& priority,
+                       const call_result& result, time_point sent);
+
+    /// Takes one retry or hedge from the budget of the service.
+    bool take_retry(const std::string& service);
+    void give_back_retry(const std::string& service);
+
+    /// Time after which a call of the class is slower than 95% of the recent ones.
+    std::optional<milliseconds> hedge_delay(const std::string& service, std::string_view priority);
+
+    /// A member whose report is stale and that may be probed now; null when there is none. The
+    /// caller must end the probe with record_probe.
+    std::shared_ptr<peer> take_probe_target(const std::string& service);
+
+    /// Learns from a probe; the report is empty when the probe failed.
+    void record_probe(peer& target, const std::string& service,
+                      const std::optional<load_report>& report, time_point sent);
+
+private:
+    struct service_state {
+        std::shared_ptr<const document> configuration;
+        std::shared_ptr<const routing_table> routes;
+        double retry_ratio = 0.0;
+        service_peers peers;
+        priority_order order;
+        std::string policy_name;
+        std::unique_ptr<any_policy> policy;
+        std::optional<retry_budget> retries;
+        std::unordered_map<std::string, recent_quantile> latencies;
+    };
+
+    service_state* find_service(const std::string& service);
+    void configure(service_state& state, const service_config& declared) const;
+    std::shared_ptr<peer> choose_from(service_state& state, std::string_view priority,
+                                      const std::vector<std::uint64_t>& left_out);
+    candidate candidate_for(const peer& entry) const;
+    void store_report(peer& target, const service_state& state, const load_report& report,
+                      time_point now) const;
+
+    const snapshot<routing_table>& routes_;
+    const snapshot<document>& configuration_;
+    const selector_options options_;
+    std::mutex mutex_;
+    random_generator random_;
+    distance_table distances_;
+    token_bucket probes_;
+    std::unordered_map<std::string, service_state> services_;
+};
+
+} // namespace chestnutstand
--- a/lib/node/dispatcher.cpp
+++ b/lib/node/dispatcher.cpp
@@ -1,46 +1,19 @@
 #include "chestnutstand/node/dispatcher.h"
 
-#include "chestnutstand/routing/service_peers.h"
-#include "chestnutstand/support/log.h"
-
 #include <algorithm>
 #include <atomic>
 #include <mutex>
 #include <optional>
-#include <unordered_map>
 #include <utility>
 
 namespace chestnutstand {
 namespace {
 
-/// Attempts of one dispatched call, the first included.
-constexpr std::size_t attempt_limit = 3;
+/// Attempts of one dispatched call, the first included. Also bounds the attempts that reach no
+/// upstream and therefore do not draw on the budget of the call tree.
+constexpr std::size_t attempt_limit = 4;
 
-/// How long a member is avoided after it could not be reached or has refused all work.
-constexpr milliseconds avoidance{1000};
-
-/// Whether the reason says that the member takes no work at all at the moment.
-bool takes_no_work(reason why)
-{
-    switch (why) {
-    case reason::peer_unreachable:
-    case reason::peer_connection_lost:
-    case reason::wrong_instance:
-    case reason::draining:
-    case reason::no_upstream:
-    case reason::upstream_unreachable:
-        return true;
-    default:
-        return false;
-    }
-}
-
-/// Whether another member may answer where this one did not.
-bool worth_retrying(const call_result& result)
-{
-    return result.outcome != outcome::completed && result.why != reason::caller_gone &&
-           result.why != reason::deadline_exceeded;
-}
+constexpr milliseconds probe_timeout{300};
 
 template <typename Named>
 const Named* find_named(const std::vector<Named>& entries, std::string_view name)
@@ -50,127 +23,103 @@
     return found == entries.end() ? nullptr : &*found;
 }
 
-} // namespace
+/// Whether the attempt may have caused further calls by its upstream. Every refusal but the
+/// upstream's own comes before the upstream sees the call.
+bool reached_upstream(const call_result& result)
+{
+    return result.outcome != outcome::not_run || result.why == reason::upstream_refused;
+}
 
-/// State of one service.
-struct service_state {
-    std::shared_ptr<const document> configuration;
-    std::shared_ptr<const routing_table> routes;
-    service_peers peers;
-    priority_order order;
-    std::string policy_name;
-    std::unique_ptr<any_policy> policy;
-};
+/// Whether a complete response says that another attempt may do better.
+bool transient_failure(const http_response& response)
+{
+    return response.status == 502 || response.status == 503 || response.status == 504;
+}
 
-/// One dispatched call and its attempts, which run one after the other.
+/// One dispatched call with its attempts.
 struct dispatched_call {
-    call what;
-    call_done done;
-    bool idempotent = false;
+    dispatched_call(const call& given, call_done callback, bool may_repeat)
+        : what{given}, done{std::move(callback)},
+          idempotent{may_repeat}, budget{std::min(given.retry_budget, default_tree_budget)}
+    {
+    }
+
+    const call what;
+    const call_done done;
+    const bool idempotent;
+
+    std::mutex mutex;
+    tree_budget budget;
     std::vector<std::uint64_t> tried;
+    std::size_t running = 0;
+    bool finished = false;
+    /// The result that says most about whether the call ran.
+    std::optional<call_result> failure;
 };
 
+/// Whether the result ends the call, so that no attempt can do better.
+bool is_final(const dispatched_call& running, const call_result& result)
+{
+    return result.outcome == outcome::completed &&
+           !(running.idempotent && transient_failure(result.response));
+}
+
+/// Keeps the result to report when no further attempt does better. An attempt that may have run
+/// outweighs a later refusal: the call as a whole is not known to be not run.
+void keep_failure(dispatched_call& running, call_result result)
+{
+    const auto weight = [](outcome value) {
+        return value == outcome::completed ? 2 : value == outcome::unknown ? 1 : 0;
+    };
+    if (!running.failure || weight(result.outcome) >= weight(running.failure->outcome)) {
+        running.failure = std::move(result);
+    }
+}
+
+} // namespace
+
 class dispatcher::core : public std::enable_shared_from_this<core> {
 public:
     core(peer_client& peers, local_executor* local, const snapshot<routing_table>& routes,
-         const snapshot<document>& configuration, metrics& counters, dispatcher_options options)
-        : peers_{peers}, local_{local}, routes_{routes}, configuration_{configuration},
-          counters_{counters}, options_{std::move(options)}, random_{options_.seed}
+         const snapshot<document>& configuration, metrics& counters,
+         const dispatcher_options& options)
+        : peers_{peers}, local_{local}, configuration_{configuration}, counters_{counters},
+          hedges_{counters.counter("chestnutstand_hedges_total")},
+          probes_{counters.counter("chestnutstand_peer_probes_total")}, options_{options},
+          selector_{routes, configuration, static_cast<const selector_options&>(options)}
     {
     }
 
     void dispatch(const call& what, call_done done);
-    void execute_on(const node_reference& target, const call& what, call_done done);
-    std::vector<node_reference> rank(const std::string& service, std::string_view priority,
-                                     std::vector<node_reference> candidates);
-    std::vector<node_reference> choose_distinct(const std::string& service,
-                                                std::string_view priority, std::size_t count);
+    void execute_on(const node_reference& target, const call& what, call_done done)
+    {
+        send(selector_.find(what.service, target), what, what.retry_budget, std::move(done));
+    }
+    upstream_selector& selector() { return selector_; }
 
 private:
-    service_state* find_service(const std::string& service);
-    std::shared_ptr<peer> choose(service_state& service, std::string_view priority,
-                                 const std::vector<std::uint64_t>& left_out);
-    std::shared_ptr<peer> choose_for(const dispatched_call& running);
-    candidate candidate_for(const peer& entry) const;
-    void attempt(const std::shared_ptr<dispatched_call>& running);
-    void finish_attempt(const std::shared_ptr<dispatched_call>& running, call_result result);
-    bool may_retry(const dispatched_call& running, const call_result& result) const;
-    void send(const std::shared_ptr<peer>& target, const call& what, call_done done);
-    void learn(peer& target, const std::string& service, const call_result& result,
-               time_point sent);
+    using call_state = std::shared_ptr<dispatched_call>;
+
+    bool start_attempt(const call_state& running);
+    void finish_attempt(const call_state& running, std::uint32_t carried, call_result result);
+    bool retry(const call_state& running, const call_result& result);
+    void schedule_hedge(const call_state& running);
+    void hedge(const call_state& running);
+    void send(const std::shared_ptr<peer>& target, const call& what, std::uint32_t carried,
+              call_done done);
+    void probe_stale_member(const std::string& service);
 
     peer_client& peers_;
     local_executor* local_;
-    const snapshot<routing_table>& routes_;
     const snapshot<document>& configuration_;
     metrics& counters_;
+    std::atomic<std::uint64_t>& hedges_;
+    std::atomic<std::uint64_t>& probes_;
     const dispatcher_options options_;
+    upstream_selector selector_;
     std::atomic<std::uint64_t> next_request_{1};
-    std::mutex mutex_;
-    random_generator random_;
-    std::unordered_map<std::string, service_state> services_;
 };
 
-service_state* dispatcher::core::find_service(const std::string& service)
-{
-    std::shared_ptr<const document> configuration = configuration_.load();
-    std::shared_ptr<const routing_table> routes = routes_.load();
-    const service_config* declared =
-        configuration ? find_named(configuration->services, service) : nullptr;
-    if (declared == nullptr || !routes) {
-        return nullptr;
-    }
-    service_state& state = services_[service];
-    if (state.configuration != configuration) {
-        state.configuration = std::move(configuration);
-        state.order = priority_order{*declared};
-        if (state.policy_name != declared->balancing_policy) {
-            state.policy_name = declared->balancing_policy;
-            state.policy = policy_registry::instance().make(state.policy_name);
-        }
-        if (!state.policy) {
-            log_event(log_level::warning, "unknown balancing policy, the default is used",
-                      {{"service", service}, {"policy", state.policy_name}});
-            state.policy = policy_registry::instance().make(default_policy);
-        }
-    }
-    if (state.routes != routes) {
-        const std::vector<member>* members = routes->find(service);
-        state.peers.update(members != nullptr ? *members : std::vector<member>{});
-        state.routes = std::move(routes);
-    }
-    return &state;
-}
-
-candidate dispatcher::core::candidate_for(const peer& entry) const
-{
-    return {&entry.load, milliseconds{0}};
-}
-
-std::shared_ptr<peer> dispatcher::core::choose(service_state& service, std::string_view priority,
-                                               const std::vector<std::uint64_t>& left_out)
-{
-    const time_point now = options_.now();
-    const std::vector<std::shared_ptr<peer>> eligible = service.peers.eligible(left_out, now);
-    if (eligible.empty()) {
-        return nullptr;
-    }
-    std::vector<candidate> candidates;
-    candidates.reserve(eligible.size());
-    for (const std::shared_ptr<peer>& entry : eligible) {
-        candidates.push_back(candidate_for(*entry));
-    }
-    const selection circumstances{service.order.rank(priority), now};
-    return eligible[service.policy->choose(candidates, circumstances, random_)];
-}
-
-std::shared_ptr<peer> dispatcher::core::choose_for(const dispatched_call& running)
-{
-    const std::lock_guard lock{mutex_};
-    service_state* service = find_service(running.what.service);
-    return service == nullptr ? nullptr : choose(*service, running.what.priority, running.tried);
-}
-
 void dispatcher::core::dispatch(const call& what, call_done done)
 {
     const std::shared_ptr<const document> configuration = configuration_.load();
@@ -184,159 +133,189 @@
         return;
     }
     const priority_config* priority = find_named(service->priorities, what.priority);
-    auto running = std::make_shared<dispatched_call>();
-    running->what = what;
-    running->done = std::move(done);
-    running->idempotent = priority != nullptr && priority->idempotent;
-    attempt(running);
-}
-
-void dispatcher::core::attempt(const std::shared_ptr<dispatched_call>& running)
-{
-    const std::shared_ptr<peer> target = choose_for(*running);
-    if (!target) {
+    const bool idempotent = priority != nullptr && priority->idempotent;
+    if (!idempotent && what.idempotency_key.empty()) {
+        done(not_run(reason::key_required));
+        return;
+    }
+    const auto running = std::make_shared<dispatched_call>(what, std::move(done), idempotent);
+    if (!start_attempt(running)) {
         running->done(not_run(reason::no_route));
         return;
     }
-    running->tried.push_back(target->node.instance);
-    send(target, running->what, [self = shared_from_this(), running](call_result result) {
-        self->finish_attempt(running, std::move(result));
-    });
+    schedule_hedge(running);
+    probe_stale_member(what.service);
 }
 
-bool dispatcher::core::may_retry(const dispatched_call& running, const call_result& result) const
+/// Sends the call to a member that has not had it yet; false when there is none or the budget of
+/// the call tree is used up.
+bool dispatcher::core::start_attempt(const call_state& running)
 {
-    return worth_retrying(result) && (result.outcome == outcome::not_run || running.idempotent) &&
-           running.tried.size() < attempt_limit && options_.now() < running.what.deadline;
+    std::shared_ptr<peer> target;
+    std::uint32_t carried = 0;
+    {
+        const std::lock_guard lock{running->mutex};
+        if (running->finished || running->tried.size() >= attempt_limit) {
+            return false;
+        }
+        const std::optional<std::uint32_t> part = running->budget.start();
+        if (!part) {
+            return false;
+        }
+        carried = *part;
+        target = selector_.choose(running->what.service, running->what.priority, running->tried);
+        if (!target) {
+            running->budget.give_back(carried);
+            return false;
+        }
+        running->tried.push_back(target->node.instance);
+        ++running->running;
+    }
+    send(target, running->what, carried,
+         [self = shared_from_this(), running, carried](call_result result) {
+             self->finish_attempt(running, carried, std::move(result));
+         });
+    return true;
 }
 
-void dispatcher::core::finish_attempt(const std::shared_ptr<dispatched_call>& running,
+void dispatcher::core::finish_attempt(const call_state& running, std::uint32_t carried,
                                       call_result result)
 {
-    if (!may_retry(*running, result) || !choose_for(*running)) {
+    const bool is_last_word = is_final(*running, result);
+    {
+        const std::lock_guard lock{running->mutex};
+        --running->running;
+        if (running->finished) {
+            return;
+        }
+        if (!reached_upstream(result)) {
+            running->budget.give_back(carried);
+        }
+        running->finished = is_last_word;
+        if (!is_last_word) {
+            keep_failure(*running, result);
+            if (running->running > 0) {
+                return;
+            }
+        }
+    }
+    if (is_last_word) {
         running->done(std::move(result));
         return;
     }
-    counters_.count(reason_event::retried, result.why);
-    if (running->what.retry_budget > 0) {
-        --running->what.retry_budget;
+    if (retry(running, result)) {
+        return;
+    }
+    {
+        const std::lock_guard lock{running->mutex};
+        if (running->finished || running->running > 0) {
+            return;
+        }
+        running->finished = true;
     }
-    attempt(running);
+    running->done(std::move(*running->failure));
 }
 
-void dispatcher::core::send(const std::shared_ptr<peer>& target, const call& what, call_done done)
+bool dispatcher::core::retry(const call_state& running, const call_result& result)
 {
-    call attempt = what;
-    attempt.request_id =
-        std::to_string(options_.self_instance) + "-" + std::to_string(next_request_.fetch_add(1));
-    target->load.begin_call();
-    call_done learn_and_forward = [self = shared_from_this(), target, service = what.service,
-                                   sent = options_.now(),
-                                   done = std::move(done)](call_result result) {
-        self->learn(*target, service, result, sent);
-        done(std::move(result));
-    };
-    if (local_ != nullptr && target->node.instance == options_.self_instance) {
-        local_->execute(attempt, std::move(learn_and_forward));
+    if (result.outcome != outcome::not_run && !running->idempotent) {
+        return false;
+    }
+    if (result.why == reason::caller_gone || options_.now() >= running->what.deadline) {
+        return false;
     }
-    else {
-        peers_.execute(target->node, attempt, std::move(learn_and_forward));
+    if (!selector_.take_retry(running->what.service)) {
+        counters_.count(reason_event::refused, reason::retry_budget_exhausted);
+        return false;
+    }
+    if (!start_attempt(running)) {
+        selector_.give_back_retry(running->what.service);
+        return false;
     }
+    counters_.count(reason_event::retried, result.why);
+    return true;
 }
 
-void dispatcher::core::learn(peer& target, const std::string& service, const call_result& result,
-                             time_point sent)
+void dispatcher::core::schedule_hedge(const call_state& running)
 {
-    const time_point now = options_.now();
-    const bool answered = result.outcome == outcome::completed && result.response.status < 500;
-    target.load.end_call(answered ? std::optional{now - sent} : std::nullopt, now);
-    if (result.outcome != outcome::completed && takes_no_work(result.why)) {
-        target.load.avoid_until(now + avoidance);
-    }
-    if (!result.load) {
+    if (!options_.run_after || !running->idempotent) {
         return;
     }
-    const std::lock_guard lock{mutex_};
-    const service_state* state = find_service(service);
-    if (state != nullptr) {
-        target.load.record_report(*result.load, state->order, now);
+    const auto delay = selector_.hedge_delay(running->what.service, running->what.priority);
+    if (!delay || options_.now() + *delay >= running->what.deadline) {
+        return;
     }
+    // The timer does not keep the body of a finished call in memory.
+    options_.run_after(
+        *delay, [self = shared_from_this(), waiting = std::weak_ptr<dispatched_call>{running}] {
+            if (const call_state still_running = waiting.lock()) {
+                self->hedge(still_running);
+            }
+        });
 }
 
-void dispatcher::core::execute_on(const node_reference& target, const call& what, call_done done)
+void dispatcher::core::hedge(const call_state& running)
 {
-    std::shared_ptr<peer> entry;
     {
-        const std::lock_guard lock{mutex_};
-        const service_state* service = find_service(what.service);
-        entry = service == nullptr ? nullptr : service->peers.find(target.instance);
+        const std::lock_guard lock{running->mutex};
+        if (running->finished || running->running != 1 || running->budget.exhausted()) {
+            return;
+        }
+    }
+    if (!selector_.take_retry(running->what.service)) {
+        counters_.count(reason_event::refused, reason::retry_budget_exhausted);
+        return;
     }
-    if (!entry) {
-        // A candidate named by a key may have left the routing table and still be reachable.
-        entry = std::make_shared<peer>();
-        entry->node = target;
+    if (!start_attempt(running)) {
+        selector_.give_back_retry(running->what.service);
+        return;
     }
-    send(entry, what, std::move(done));
+    hedges_.fetch_add(1);
 }
 
-std::vector<node_reference> dispatcher::core::rank(const std::string& service,
-                                                   std::string_view priority,
-                                                   std::vector<node_reference> candidates)
+void dispatcher::core::send(const std::shared_ptr<peer>& target, const call& what,
+                            std::uint32_t carried, call_done done)
 {
-    struct ranked {
-        bool avoided = true;
-        double cost = 0.0;
-        node_reference node;
+    call attempt = what;
+    attempt.retry_budget = carried;
+    attempt.request_id =
+        std::to_string(options_.self_instance) + "-" + std::to_string(next_request_.fetch_add(1));
+    target->load.begin_call();
+    const time_point sent = options_.now();
+    call_done learn = [self = shared_from_this(), target, service = what.service,
+                       priority = what.priority, sent, done = std::move(done)](call_result result) {
+        self->selector_.record_result(*target, service, priority, result, sent);
+        done(std::move(result));
     };
-    std::vector<ranked> order;
-    const time_point now = options_.now();
-    const std::lock_guard lock{mutex_};
-    const service_state* state = find_service(service);
-    for (node_reference& node : candidates) {
-        const auto entry = state == nullptr ? nullptr : state->peers.find(node.instance);
-        ranked item{true, 0.0, std::move(node)};
-        if (entry) {
-            const selection circumstances{state->order.rank(priority), now};
-            item.avoided = entry->load.avoided(now);
-            item.cost = expected_cost(candidate_for(*entry), circumstances);
-        }
-        order.push_back(std::move(item));
-    }
-    std::stable_sort(order.begin(), order.end(), [](const ranked& left, const ranked& right) {
-        return left.avoided != right.avoided ? right.avoided : left.cost < right.cost;
-    });
-    candidates.clear();
-    for (ranked& item : order) {
-        candidates.push_back(std::move(item.node));
+    if (local_ != nullptr && target->node.instance == options_.self_instance) {
+        local_->execute(attempt, std::move(learn));
+        return;
     }
-    return candidates;
+    peers_.execute(target->node, attempt, std::move(learn));
 }
 
-std::vector<node_reference> dispatcher::core::choose_distinct(const std::string& service,
-                                                              std::string_view priority,
-                                                              std::size_t count)
+void dispatcher::core::probe_stale_member(const std::string& service)
 {
-    std::vector<node_reference> chosen;
-    std::vector<std::uint64_t> left_out;
-    const std::lock_guard lock{mutex_};
-    service_state* state = find_service(service);
-    while (state != nullptr && chosen.size() < count) {
-        const std::shared_ptr<peer> next = choose(*state, priority, left_out);
-        if (!next) {
-            break;
-        }
-        left_out.push_back(next->node.instance);
-        chosen.push_back(next->node);
+    const std::shared_ptr<peer> target = selector_.take_probe_target(service);
+    if (!target) {
+        return;
     }
-    return chosen;
+    probes_.fetch_add(1);
+    const time_point sent = options_.now();
+    peers_.probe(target->node, probe_timeout,
+                 [self = shared_from_this(), target, service,
+                  sent](const absl::StatusOr<load_report>& report) {
+                     self->selector_.record_probe(
+                         *target, service, report.ok() ? std::optional{*report} : std::nullopt,
+                         sent);
+                 });
 }
 
 dispatcher::dispatcher(peer_client& peers, local_executor* local,
                        const snapshot<routing_table>& routes,
                        const snapshot<document>& configuration, metrics& counters,
-                       dispatcher_options options)
-    : core_{
-          std::make_shared<core>(peers, local, routes, configuration, counters, std::move(options))}
+                       const dispatcher_options& options)
+    : core_{std::make_shared<core>(peers, local, routes, configuration, counters, options)}
 {
 }
 
@@ -355,14 +334,14 @@
 std::vector<node_reference> dispatcher::rank(const std::string& service, std::string_view priority,
                                              std::vector<node_reference> candidates)
 {
-    return core_->rank(service, priority, std::move(candidates));
+    return core_->selector().rank(service, priority, std::move(candidates));
 }
 
 std::vector<node_reference> dispatcher::choose_distinct(const std::string& service,
                                                         std::string_view priority,
                                                         std::size_t count)
 {
-    return core_->choose_distinct(service, priority, count);
+    return core_->selector().choose_distinct(service, priority, count);
 }
 
 } // namespace chestnutstand
--- a/lib/routing/balancing_policy.cpp
+++ b/lib/routing/balancing_policy.cpp
@@ -87,7 +87,8 @@
 double cost_behind(double ahead, const load_view& view, milliseconds distance)
 {
     const double limit = view.limit > 0 ? static_cast<double>(view.limit) : unknown_limit;
-    double latency = unknown_latency_ms;
+    double latency =
+        view.reported_latency.count() > 0.0 ? view.reported_latency.count() : unknown_latency_ms;
     if (view.latency.count() > 0.0) {
         // The measured latency includes the network, which queued calls do not wait for again.
         latency = std::max(view.latency.count() - distance.count(), lowest_service_ms);
--- a/lib/routing/peer_load.cpp
+++ b/lib/routing/peer_load.cpp
@@ -59,12 +59,7 @@
         std::uint16_t& length = queued_[order.rank(queue.priority)];
         length = narrow(length + queue.length);
     }
-    if (latency_ms_ <= 0.0F) {
-        latency_ms_ = static_cast<float>(report.latency.count());
-        replied_at_ = now;
-    }
-    draining_ = report.draining;
-    upstream_registered_ = report.upstream_registered;
+    reported_latency_ms_ = static_cast<float>(report.latency.count());
     sent_since_report_ = 0;
     reported_at_ = now;
     has_report_ = true;
@@ -82,11 +77,10 @@
     }
     view.limit = limit_;
     view.latency = decayed_latency(now);
+    view.reported_latency = milliseconds{reported_latency_ms_};
     if (has_report_) {
         view.report_age = now - reported_at_;
     }
-    view.draining = draining_;
-    view.upstream_registered = upstream_registered_;
     return view;
 }
 
--- /dev/null
+++ b/lib/routing/upstream_selector.cpp
@@ -0,0 +1,325 @@
+#include "chestnutstand/routing/upstream_selector.h"
+
+#include "chestnutstand/support/log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace chestnutstand {
+namespace {
+
+/// How long a member is avoided after it could not be reached or has refused all work. Gossip takes
+/// longer to remove it; a member that is back gets traffic soon.
+constexpr milliseconds avoidance{1000};
+
+/// Age from which a report is stale. Load changes within milliseconds, so that such a report says
+/// little more than that the member exists.
+constexpr milliseconds stale_report{250};
+
+/// Probes to nodes, whatever the number of calls, services and members.
+constexpr double probes_per_s = 10.0;
+constexpr double probe_burst = 2.0;
+
+constexpr double hedge_quantile = 0.95;
+
+/// Whether the reason says that the member takes no work at all at the moment.
+bool takes_no_work(reason why)
+{
+    switch (why) {
+    case reason::peer_unreachable:
+    case reason::peer_connection_lost:
+    case reason::wrong_instance:
+    case reason::draining:
+    case reason::no_upstream:
+    case reason::upstream_unreachable:
+        return true;
+    default:
+        return false;
+    }
+}
+
+/// Whether the upstream answered and did not fail.
+bool succeeded(const call_result& result)
+{
+    return result.outcome == outcome::completed && result.response.status < 500;
+}
+
+/// Whether the result speaks against the member. Refusals by its admission queue do not: the queue
+/// length in the report already keeps calls away from it.
+bool failed(const call_result& result)
+{
+    switch (result.outcome) {
+    case outcome::completed:
+        return result.response.status >= 500;
+    case outcome::unknown:
+        return result.why != reason::caller_gone;
+    case outcome::not_run:
+        return takes_no_work(result.why) || result.why == reason::upstream_refused;
+    }
+    return false;
+}
+
+} // namespace
+
+upstream_selector::upstream_selector(const snapshot<routing_table>& routes,
+                                     const snapshot<document>& configuration,
+                                     selector_options options)
+    : routes_{routes}, configuration_{configuration}, options_{std::move(options)},
+      random_{options_.seed}, distances_{options_.data_centre}, probes_{probes_per_s, probe_burst,
+                                                                        options_.now()}
+{
+}
+
+upstream_selector::service_state* upstream_selector::find_service(const std::string& service)
+{
+    std::shared_ptr<const document> configuration = configuration_.load();
+    std::shared_ptr<const routing_table> routes = routes_.load();
+    if (!configuration || !routes) {
+        return nullptr;
+    }
+    const auto declared =
+        std::find_if(configuration->services.begin(), configuration->services.end(),
+                     [&service](const service_config& entry) { return entry.name == service; });
+    if (declared == configuration->services.end()) {
+        return nullptr;
+    }
+    service_state& state = services_[service];
+    if (state.configuration != configuration) {
+        configure(state, *declared);
+        state.configuration = std::move(configuration);
+    }
+    if (state.routes != routes) {
+        const std::vector<member>* members = routes->find(service);
+        state.peers.update(members != nullptr ? *members : std::vector<member>{}, options_.now());
+        state.routes = std::move(routes);
+    }
+    return &state;
+}
+
+void upstream_selector::configure(service_state& state, const service_config& declared) const
+{
+    state.order = priority_order{declared};
+    state.retry_ratio = declared.retry_ratio;
+    if (!state.retries) {
+        state.retries.emplace(options_.now());
+    }
+    if (state.policy && state.policy_name == declared.balancing_policy) {
+        return;
+    }
+    state.policy_name = declared.balancing_policy;
+    state.policy = policy_registry::instance().make(state.policy_name);
+    if (!state.policy) {
+        log_event(log_level::warning, "unknown balancing policy, the default is used",
+                  {{"service", declared.name}, {"policy", state.policy_name}});
+        state.policy = policy_registry::instance().make(default_policy);
+    }
+}
+
+candidate upstream_selector::candidate_for(const peer& entry) const
+{
+    const bool local = entry.node.instance == options_.self_instance;
+    return {&entry.load, local ? milliseconds{0} : distances_.distance(entry.data_centre)};
+}
+
+std::shared_ptr<peer> upstream_selector::choose_from(service_state& state,
+                                                     std::string_view priority,
+                                                     const std::vector<std::uint64_t>& left_out)
+{
+    const time_point now = options_.now();
+    const peer_list eligible = state.peers.eligible(left_out, now, random_);
+    if (eligible.empty()) {
+        return nullptr;
+    }
+    std::vector<candidate> candidates;
+    candidates.reserve(eligible.size());
+    for (const std::shared_ptr<peer>& entry : eligible) {
+        candidates.push_back(candidate_for(*entry));
+    }
+    const selection circumstances{state.order.rank(priority), now};
+    return eligible[state.policy->choose(candidates, circumstances, random_)];
+}
+
+std::shared_ptr<peer> upstream_selector::choose(const std::string& service,
+                                                std::string_view priority,
+                                                const std::vector<std::uint64_t>& left_out)
+{
+    const std::lock_guard lock{mutex_};
+    service_state* state = find_service(service);
+    return state == nullptr ? nullptr : choose_from(*state, priority, left_out);
+}
+
+std::shared_ptr<peer> upstream_selector::find(const std::string& service,
+                                              const node_reference& node)
+{
+    const std::lock_guard lock{mutex_};
+    const service_state* state = find_service(service);
+    std::shared_ptr<peer> entry = state == nullptr ? nullptr : state->peers.find(node.instance);
+    if (!entry) {
+        entry = std::make_shared<peer>();
+        entry->node = node;
+    }
+    return entry;
+}
+
+std::vector<node_reference> upstream_selector::rank(const std::string& service,
+                                                    std::string_view priority,
+                                                    std::vector<node_reference> nodes)
+{
+    struct ranked {
+        bool avoided = true;
+        double cost = 0.0;
+        node_reference node;
+    };
+    std::vector<ranked> order;
+    const time_point now = options_.now();
+    {
+        const std::lock_guard lock{mutex_};
+        const service_state* state = find_service(service);
+        for (node_reference& node : nodes) {
+            const auto entry = state == nullptr ? nullptr : state->peers.find(node.instance);
+            ranked item{true, 0.0, std::move(node)};
+            if (entry) {
+                item.avoided = state->peers.avoided(*entry, now);
+                item.cost =
+                    expected_cost(candidate_for(*entry), {state->order.rank(priority), now});
+            }
+            order.push_back(std::move(item));
+        }
+    }
+    std::stable_sort(order.begin(), order.end(), [](const ranked& left, const ranked& right) {
+        return left.avoided != right.avoided ? right.avoided : left.cost < right.cost;
+    });
+    nodes.clear();
+    for (ranked& item : order) {
+        nodes.push_back(std::move(item.node));
+    }
+    return nodes;
+}
+
+std::vector<node_reference> upstream_selector::choose_distinct(const std::string& service,
+                                                               std::string_view priority,
+                                                               std::size_t count)
+{
+    std::vector<node_reference> chosen;
+    std::vector<std::uint64_t> left_out;
+    const std::lock_guard lock{mutex_};
+    service_state* state = find_service(service);
+    while (state != nullptr && chosen.size() < count) {
+        const std::shared_ptr<peer> next = choose_from(*state, priority, left_out);
+        if (!next) {
+            break;
+        }
+        left_out.push_back(next->node.instance);
+        chosen.push_back(next->node);
+    }
+    return chosen;
+}
+
+void upstream_selector::record_result(peer& target, const std::string& service,
+                                      const std::string& priority, const call_result& result,
+                                      time_point sent)
+{
+    const time_point now = options_.now();
+    const bool good = succeeded(result);
+    target.load.end_call(good ? std::optional{now - sent} : std::nullopt, now);
+    if (result.outcome != outcome::completed && takes_no_work(result.why)) {
+        target.load.avoid_until(now + avoidance);
+    }
+    const std::lock_guard lock{mutex_};
+    service_state* state = find_service(service);
+    if (state == nullptr) {
+        return;
+    }
+    if (good) {
+        state->retries->record_success(state->retry_ratio);
+        state->latencies[priority].record(now - sent, now);
+    }
+    if (good || failed(result)) {
+        state->peers.outliers().record(target.node.instance, good, now, random_);
+    }
+    if (result.load && state->policy->reports() != report_source::probes) {
+        store_report(target, *state, *result.load, now);
+    }
+}
+
+void upstream_selector::store_report(peer& target, const service_state& state,
+                                     const load_report& report, time_point now) const
+{
+    target.load.record_report(report, state.order, now);
+    if (report.draining || !report.upstream_registered) {
+        target.load.avoid_until(now + avoidance);
+    }
+}
+
+bool upstream_selector::take_retry(const std::string& service)
+{
+    const std::lock_guard lock{mutex_};
+    service_state* state = find_service(service);
+    return state != nullptr && state->retries->try_take(options_.now());
+}
+
+void upstream_selector::give_back_retry(const std::string& service)
+{
+    const std::lock_guard lock{mutex_};
+    service_state* state = find_service(service);
+    if (state != nullptr) {
+        state->retries->give_back();
+    }
+}
+
+std::optional<milliseconds> upstream_selector::hedge_delay(const std::string& service,
+                                                           std::string_view priority)
+{
+    const std::lock_guard lock{mutex_};
+    const service_state* state = find_service(service);
+    if (state == nullptr) {
+        return std::nullopt;
+    }
+    const auto found = state->latencies.find(std::string{priority});
+    return found == state->latencies.end() ? std::nullopt
+                                           : found->second.value(hedge_quantile, options_.now());
+}
+
+std::shared_ptr<peer> upstream_selector::take_probe_target(const std::string& service)
+{
+    const std::lock_guard lock{mutex_};
+    service_state* state = find_service(service);
+    if (state == nullptr || state->policy->reports() == report_source::none) {
+        return nullptr;
+    }
+    const peer_list& members = state->peers.all();
+    if (members.empty()) {
+        return nullptr;
+    }
+    const time_point now = options_.now();
+    const std::size_t index =
+        std::uniform_int_distribution<std::size_t>{0, members.size() - 1}(random_);
+    const std::shared_ptr<peer>& entry = members[index];
+    const std::optional<milliseconds> age = entry->load.read(0, now).report_age;
+    const bool stale = !age || *age > stale_report;
+    if (!stale || entry->node.instance == options_.self_instance || entry->probing.load() ||
+        !probes_.try_take(now)) {
+        return nullptr;
+    }
+    entry->probing.store(true);
+    return entry;
+}
+
+void upstream_selector::record_probe(peer& target, const std::string& service,
+                                     const std::optional<load_report>& report, time_point sent)
+{
+    const time_point now = options_.now();
+    target.probing.store(false);
+    if (!report) {
+        target.load.avoid_until(now + avoidance);
+        return;
+    }
+    const std::lock_guard lock{mutex_};
+    distances_.record(target.data_centre, now - sent, now);
+    const service_state* state = find_service(service);
+    if (state != nullptr) {
+        store_report(target, *state, *report, now);
+    }
+}
+
+} // namespace chestnutstand
--- a/unittests/node/dispatcher_test.cpp
+++ b/unittests/node/dispatcher_test.cpp
@@ -3,9 +3,13 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <array>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
+#include <vector>
 
 namespace chestnutstand {
 namespace {
@@ -51,6 +55,9 @@
         dispatcher_options options;
         options.self_instance = 99;
         options.now = [this] { return now_; };
+        options.run_after = [this](milliseconds, std::function<void()> task) {
+            timers_.push_back(std::move(task));
+        };
         dispatcher_ = std::make_unique<dispatcher>(peers_, nullptr, routes_, configuration_,
                                                    counters_, std::move(options));
     }
@@ -74,12 +81,33 @@
         what.priority = priority;
         what.deadline = now_ + milliseconds{1000};
         what.retry_budget = 3;
+        what.idempotency_key = priority == "payment" ? "key" : "";
         std::optional<call_result> result;
         dispatcher_->dispatch(what, [&result](call_result given) { result = std::move(given); });
         EXPECT_TRUE(result.has_value());
         return result.value_or(unknown_outcome(reason::internal));
     }
 
+    /// Answers every attempt by its number, counted from zero over all calls.
+    void answer_with(std::function<call_result(int)> answer_for)
+    {
+        ON_CALL(peers_, execute(_, _, _))
+            .WillByDefault([this, answer_for = std::move(answer_for)](const node_reference& target,
+                                                                      const call& what,
+                                                                      const call_done& done) {
+                attempts_.push_back({target.instance, what.retry_budget, what.request_id});
+                done(answer_for(static_cast<int>(attempts_.size()) - 1));
+            });
+    }
+
+    struct attempt {
+        std::uint64_t instance;
+        std::uint32_t retry_budget;
+        std::string request_id;
+    };
+
+    std::vector<attempt> attempts_;
+    std::vector<std::function<void()>> timers_;
     time_point now_{milliseconds{1'000'000}};
     snapshot<routing_table> routes_;
     snapshot<document> configuration_;
@@ -130,6 +158,170 @@
     EXPECT_EQ(calls_to_dead, 1);
 }
 
+// Guards against a call that may have run and is reported as not run because a retry was refused.
+TEST_F(dispatcher_test, refusal_after_unknown_attempt_stays_unknown)
+{
+    answer_with([](int attempt) {
+        return attempt == 0 ? unknown_outcome(reason::upstream_timeout)
+                            : not_run(reason::queue_full);
+    });
+    const call_result result = run();
+    EXPECT_EQ(attempts_.size(), 3U);
+    EXPECT_EQ(result.outcome, outcome::unknown);
+    EXPECT_EQ(result.why, reason::upstream_timeout);
+}
+
+// Guards against retries that multiply down a call tree: the parts that the attempts carry, with
+// one for each attempt, never exceed what the call arrived with.
+TEST_F(dispatcher_test, splits_the_tree_budget)
+{
+    answer_with([](int) { return not_run(reason::upstream_refused); });
+    EXPECT_EQ(run().outcome, outcome::not_run);
+    ASSERT_EQ(attempts_.size(), 2U);
+    EXPECT_EQ(attempts_[0].retry_budget, 2U);
+    EXPECT_EQ(attempts_[1].retry_budget, 0U);
+    EXPECT_NE(attempts_[0].request_id, attempts_[1].request_id);
+}
+
+// Guards against a retry storm when every member sheds load.
+TEST_F(dispatcher_test, retries_stay_within_the_ratio_when_all_refuse)
+{
+    answer_with([](int) { return not_run(reason::upstream_refused); });
+    for (int i = 0; i < 1000; ++i) {
+        EXPECT_EQ(run().outcome, outcome::not_run);
+    }
+    EXPECT_LE(attempts_.size(), 1000 + static_cast<std::size_t>(retry_budget::saved_at_start));
+    EXPECT_GT(counters_.value(reason_event::refused, reason::retry_budget_exhausted), 900U);
+}
+
+// Guards against a retry that cannot be answered in time.
+TEST_F(dispatcher_test, no_retry_after_the_deadline)
+{
+    answer_with([this](int) {
+        now_ += milliseconds{1001};
+        return not_run(reason::queue_timeout);
+    });
+    EXPECT_EQ(run().outcome, outcome::not_run);
+    EXPECT_EQ(attempts_.size(), 1U);
+}
+
+// Guards against an upstream that fails at once and attracts traffic because it always looks idle.
+TEST_F(dispatcher_test, fast_failing_member_does_not_attract_traffic)
+{
+    std::array<int, 4> calls{};
+    ON_CALL(peers_, execute(_, _, _))
+        .WillByDefault([&](const node_reference& target, const call&, const call_done& done) {
+            ++calls.at(target.instance);
+            now_ += milliseconds{target.instance == 1 ? 0.05 : 5.0};
+            done(answer(target.instance == 1 ? 500 : 200));
+        });
+    for (int i = 0; i < 200; ++i) {
+        run();
+    }
+    EXPECT_LT(calls[1], 10);
+}
+
+// Guards against hedges of calls that must not run twice, a second response to the caller and
+// hedges without a slow call.
+TEST_F(dispatcher_test, hedges_only_slow_idempotent_calls)
+{
+    std::vector<call_done> pending;
+    answer_with([this](int) {
+        now_ += milliseconds{2};
+        return answer(200);
+    });
+    for (int i = 0; i < 100; ++i) {
+        run("lookup");
+        run("payment");
+    }
+    const std::size_t answered = attempts_.size();
+    timers_.clear();
+    ON_CALL(peers_, execute(_, _, _))
+        .WillByDefault([&](const node_reference&, const call&, const call_done& done) {
+            pending.push_back(done);
+        });
+    int responses = 0;
+    call slow;
+    slow.service = "ledger";
+    slow.priority = "lookup";
+    slow.retry_budget = 1;
+    slow.deadline = now_ + milliseconds{1000};
+    dispatcher_->dispatch(slow, [&responses](const call_result& result) {
+        ++responses;
+        EXPECT_EQ(result.response.status, 201);
+    });
+    slow.priority = "payment";
+    slow.idempotency_key = "key";
+    dispatcher_->dispatch(slow, [](const call_result&) {});
+    ASSERT_EQ(timers_.size(), 1U);
+    timers_[0]();
+    ASSERT_EQ(pending.size(), 3U);
+    pending[2](answer(201));
+    pending[0](answer(202));
+    EXPECT_EQ(responses, 1);
+    EXPECT_EQ(answered, 200U);
+}
+
+// Guards against probes that grow with the number of calls.
+TEST_F(dispatcher_test, probes_are_limited_whatever_the_load)
+{
+    answer_with([](int) { return answer(200); });
+    int probes = 0;
+    ON_CALL(peers_, probe(_, _, _))
+        .WillByDefault([&probes](const node_reference&, milliseconds, const auto& done) {
+            ++probes;
+            done(load_report{});
+        });
+    for (int i = 0; i < 10'000; ++i) {
+        run();
+        now_ += milliseconds{1};
+    }
+    EXPECT_LE(probes, 101);
+    EXPECT_GE(probes, 30);
+}
+
+// Guards against a member that is gone from the routing table and still gets calls, and against a
+// call without any member that gets no answer.
+TEST_F(dispatcher_test, follows_the_routing_table)
+{
+    answer_with([](int) { return answer(200); });
+    publish_members(1);
+    for (int i = 0; i < 20; ++i) {
+        run();
+    }
+    EXPECT_TRUE(std::all_of(attempts_.begin(), attempts_.end(),
+                            [](const attempt& made) { return made.instance == 1; }));
+    publish_members(0);
+    EXPECT_EQ(run().why, reason::no_route);
+}
+
+// Guards against a key owner that tries the most loaded or an unreachable candidate first.
+TEST_F(dispatcher_test, ranks_candidates_by_cost_and_avoided_ones_last)
+{
+    const std::vector<node_reference> nodes = dispatcher_->choose_distinct("ledger", "payment", 3);
+    ASSERT_EQ(nodes.size(), 3U);
+    const auto report_from = [this](const node_reference& node, call_result result) {
+        EXPECT_CALL(peers_, execute(node, _, _))
+            .WillOnce([result = std::move(result)](const node_reference&, const call&,
+                                                   const call_done& done) { done(result); });
+        call what;
+        what.service = "ledger";
+        what.priority = "payment";
+        dispatcher_->execute_on(node, what, [](const call_result&) {});
+    };
+    load_report busy;
+    busy.in_flight = 9;
+    busy.limit = 10;
+    busy.latency = milliseconds{1};
+    busy.upstream_registered = true;
+    report_from(nodes[0], not_run(reason::peer_unreachable));
+    call_result loaded = not_run(reason::queue_full);
+    loaded.load = busy;
+    report_from(nodes[1], loaded);
+    const auto ranked = dispatcher_->rank("ledger", "payment", nodes);
+    EXPECT_EQ(ranked, (std::vector<node_reference>{nodes[2], nodes[1], nodes[0]}));
+}
+
 // Guards against a key whose candidates are the same node twice.
 TEST_F(dispatcher_test, chooses_distinct_candidates)
 {
--- a/unittests/routing/peer_load_test.cpp
+++ b/unittests/routing/peer_load_test.cpp
@@ -64,6 +64,7 @@
 {
     peer_load load;
     std::vector<std::thread> threads;
+    threads.reserve(4);
     for (int i = 0; i < 4; ++i) {
         threads.emplace_back([&load] {
             for (int calls = 0; calls < 10'000; ++calls) {
