Test the membership protocol over a network in virtual time

Guards kill, pause, one-way cut, packet loss, partition, restart of a data centre, drain and anti-entropy. Counters of suspicions, deaths and refutations show decisions that a final state hides.

--- a/include/chestnutstand/membership/swim.h
+++ b/include/chestnutstand/membership/swim.h
@@ -67,6 +67,16 @@
     bool resumed = false;
 };
 
+/// Decisions of one node since its start.
+struct swim_counters {
+    /// Members that this node's own probes found silent.
+    std::uint64_t suspicions_raised = 0;
+    /// Members whose suspicion ran out here.
+    std::uint64_t deaths_declared = 0;
+    /// Suspicions and deaths of this node that it refuted.
+    std::uint64_t refutations = 0;
+};
+
 /// SWIM protocol state machine of one member: failure detection by probes, dissemination by
 /// piggybacked updates. No I/O; inputs carry the time, outputs are collected until taken.
 class swim {
@@ -95,6 +105,7 @@
     swim_output take_output() { return std::exchange(output_, {}); }
 
     const member& self() const { return self_; }
+    const swim_counters& counters() const { return counters_; }
     const member_table& table() const { return table_; }
     /// All members, this node first.
     std::vector<member> members() const;
@@ -173,6 +184,7 @@
     member_table table_;
     update_queue queue_;
     swim_output output_;
+    swim_counters counters_;
     std::vector<probe> probes_;
     std::vector<std::uint64_t> probe_order_;
     std::size_t probe_index_ = 0;
--- a/lib/membership/swim.cpp
+++ b/lib/membership/swim.cpp
@@ -158,6 +158,7 @@
         return;
     }
     self_.incarnation = incoming.incarnation + 1;
+    ++counters_.refutations;
     announce_self(true);
 }
 
--- a/lib/membership/swim_timers.cpp
+++ b/lib/membership/swim_timers.cpp
@@ -129,8 +129,9 @@
     for (const std::uint64_t target : failed) {
         declare(target, liveness::suspect, now);
         const auto found = suspicions_.find(target);
-        if (found != suspicions_.end()) {
+        if (found != suspicions_.end() && !found->second.own) {
             found->second.own = true;
+            ++counters_.suspicions_raised;
         }
     }
 }
@@ -164,6 +165,7 @@
             output_.members_changed = true;
         }
     }
+    counters_.deaths_declared += expired.size();
     for (const std::uint64_t instance : expired) {
         declare(instance, liveness::dead, now);
     }
--- /dev/null
+++ b/unittests/membership/swim_test.cpp
@@ -0,0 +1,208 @@
+#include "gossip_network.h"
+
+#include <gtest/gtest.h>
+
+namespace chestnutstand {
+namespace {
+
+constexpr milliseconds second{1'000};
+const std::vector<std::string> one_data_centre{"howrah"};
+const std::vector<std::string> two_data_centres{"howrah", "garia"};
+
+bool all_see(const gossip_network& network, std::uint64_t instance, liveness state)
+{
+    return network.all_running([&](const swim& observer) {
+        const member* known = observer.table().find(instance);
+        return observer.self().node.instance == instance ||
+               (known != nullptr && known->state == state);
+    });
+}
+
+// Guards against a killed node that stays in the tables, and against live members that are removed
+// along with it.
+TEST(swim, killed_member_is_declared_dead_and_nobody_else)
+{
+    gossip_network network{{}};
+    network.add_cluster(12, one_data_centre);
+    ASSERT_TRUE(network.is_converged());
+    const std::uint64_t victim = network.instance(3);
+    network.kill(3);
+    network.run_until([&] { return all_see(network, victim, liveness::dead); }, 30 * second);
+    EXPECT_TRUE(all_see(network, victim, liveness::dead));
+    network.run_for(30 * second);
+    EXPECT_TRUE(network.is_converged());
+}
+
+// Guards against a paused node that stays dead after it runs again, does not notice that it was
+// paused, or takes the others for dead.
+TEST(swim, paused_member_refutes_its_death_on_resume)
+{
+    gossip_network network{{}};
+    network.add_cluster(8, one_data_centre);
+    network.pause(2);
+    network.run_for(20 * second);
+    EXPECT_TRUE(all_see(network, network.instance(2), liveness::dead));
+    const std::uint64_t deaths = network.deaths_declared();
+    network.resume(2);
+    network.run_until([&] { return network.is_converged(); }, 30 * second);
+    EXPECT_TRUE(network.is_converged());
+    EXPECT_TRUE(network.saw_resume(2));
+    network.run_for(10 * second);
+    EXPECT_TRUE(network.is_converged());
+    EXPECT_EQ(network.deaths_declared(), deaths);
+}
+
+// Guards against a pause shorter than the suspicion time that ends in a death: the member has to
+// refute the suspicion.
+TEST(swim, short_pause_ends_in_a_refutation)
+{
+    gossip_network network{{}};
+    network.add_cluster(12, one_data_centre);
+    network.pause(2);
+    network.run_until([&] { return network.suspicions_raised() > 0; }, 30 * second);
+    ASSERT_GT(network.suspicions_raised(), 0U);
+    network.run_for(0.3 * second);
+    network.resume(2);
+    network.run_for(10 * second);
+    ASSERT_FALSE(network.saw_resume(2));
+    EXPECT_TRUE(network.is_converged());
+    EXPECT_EQ(network.deaths_declared(), 0U);
+    EXPECT_GT(network.node(2).counters().refutations, 0U);
+}
+
+// Guards against one bad link that removes a member which all others reach.
+TEST(swim, one_way_cut_between_two_members_kills_nobody)
+{
+    gossip_network network{{}};
+    network.add_cluster(6, one_data_centre);
+    network.set_cut([](std::size_t from, std::size_t to) { return from == 1 && to == 4; });
+    network.run_for(120 * second);
+    EXPECT_EQ(network.suspicions_raised(), 0U);
+    EXPECT_EQ(network.deaths_declared(), 0U);
+    EXPECT_TRUE(network.is_converged());
+}
+
+// Guards against false deaths where packets are lost at random.
+TEST(swim, packet_loss_kills_nobody)
+{
+    gossip_network_options options;
+    options.loss = 0.05;
+    gossip_network network{options};
+    network.add_cluster(20, one_data_centre);
+    network.run_for(120 * second);
+    EXPECT_EQ(network.deaths_declared(), 0U);
+    EXPECT_LE(network.largest_datagram(), swim_options{}.packet_limit);
+}
+
+class partition_test : public testing::Test {
+protected:
+    partition_test() { network_.add_cluster(16, two_data_centres); }
+
+    /// Slots alternate between the data centres.
+    void partition()
+    {
+        network_.set_cut([](std::size_t from, std::size_t to) { return (from + to) % 2 != 0; });
+    }
+
+    bool sees_other_side_dead(const swim& observer) const
+    {
+        return observer.table().live().size() == network_.size() / 2 - 1;
+    }
+
+    gossip_network network_{{}};
+};
+
+// Guards against data centres that stay apart after a partition, and against members that are
+// declared dead in their own data centre because the other side believed so.
+TEST_F(partition_test, both_sides_rejoin_without_new_deaths)
+{
+    partition();
+    network_.run_for(120 * second);
+    ASSERT_TRUE(network_.all_running([&](const swim& each) { return sees_other_side_dead(each); }));
+    const std::uint64_t deaths = network_.deaths_declared();
+    network_.set_cut(nullptr);
+    network_.run_until([&] { return network_.is_converged(); }, 300 * second);
+    EXPECT_TRUE(network_.is_converged());
+    network_.run_for(30 * second);
+    EXPECT_TRUE(network_.is_converged());
+    EXPECT_EQ(network_.deaths_declared(), deaths);
+    EXPECT_LE(network_.largest_datagram(), swim_options{}.packet_limit);
+}
+
+// Guards against members that joined or were replaced during a partition and stay unknown to the
+// other side.
+TEST_F(partition_test, replacements_during_a_partition_are_found_afterwards)
+{
+    partition();
+    network_.run_for(60 * second);
+    network_.restart(3);
+    network_.restart(4);
+    network_.run_for(60 * second);
+    network_.set_cut(nullptr);
+    network_.run_until([&] { return network_.is_converged(); }, 300 * second);
+    EXPECT_TRUE(network_.is_converged());
+}
+
+// Guards against old instances that keep receiving calls after all processes of a data centre were
+// restarted at the same addresses.
+TEST_F(partition_test, restart_of_a_data_centre_replaces_all_its_instances)
+{
+    for (std::size_t slot = 0; slot < network_.size(); slot += 2) {
+        network_.restart(slot);
+    }
+    network_.run_until([&] { return network_.is_converged(); }, 120 * second);
+    EXPECT_TRUE(network_.is_converged());
+    EXPECT_EQ(network_.deaths_declared(), 0U); // Replaced on sight, not by a suspicion.
+}
+
+// Guards against a drain that reaches some nodes later than the 3 s after which an upstream must
+// get no new work.
+TEST(swim, drain_reaches_all_members_within_its_limit)
+{
+    gossip_network_options options;
+    options.loss = 0.02;
+    gossip_network network{options};
+    network.add_cluster(50, two_data_centres);
+    network.node(7).set_draining();
+    const std::uint64_t drained = network.instance(7);
+    network.run_for(3 * second);
+    EXPECT_TRUE(network.all_running([&](const swim& observer) {
+        return observer.self().node.instance == drained ||
+               !observer.is_routable(*observer.table().find(drained));
+    }));
+}
+
+// Guards against a member that is told to stop and is then reported as failed.
+TEST(swim, member_that_leaves_is_known_as_left)
+{
+    gossip_network network{{}};
+    network.add_cluster(8, one_data_centre);
+    network.node(5).leave();
+    network.run_for(0.1 * second);
+    network.kill(5);
+    network.run_for(30 * second);
+    EXPECT_TRUE(all_see(network, network.instance(5), liveness::left));
+    EXPECT_EQ(network.deaths_declared(), 0U);
+}
+
+// Guards against tables that stay different after an update was lost everywhere else.
+TEST(swim, anti_entropy_repairs_a_missed_update)
+{
+    gossip_network_options options;
+    options.protocol.retransmit_factor = 0.0;
+    options.protocol.pushes_per_s = 0.0;
+    options.protocol.push_burst = 0.0;
+    gossip_network network{options};
+    network.add_cluster(10, one_data_centre);
+    EXPECT_TRUE(network.is_converged());
+    network.run_for(30 * second);
+    network.node(1).set_upstream("crate-yard", 4);
+    network.run_for(120 * second);
+    EXPECT_TRUE(network.all_running([&](const swim& observer) {
+        return observer.self().node.instance == network.instance(1) ||
+               observer.table().find(network.instance(1))->service == "crate-yard";
+    }));
+}
+
+} // namespace
+} // namespace chestnutstand
