--- a/include/chestnutstand/membership/swim.h
+++ b/include/chestnutstand/membership/swim.h
@@ -5,7 +5,6 @@
 #include "chestnutstand/membership/update_queue.h"
 
 #include <cstdint>
-#include <deque>
 #include <random>
 #include <string>
 #include <string_view>
@@ -28,16 +27,18 @@
     /// A table that has not changed for this long is compared with those of peers. Updates reach
     /// 7,400 members well within it.
     milliseconds digest_quiet{10'000};
-    /// Longest rate at which doubtful claims are checked by a ping to the member concerned.
-    milliseconds verify_interval{100};
+    /// Pause between checks of doubtful claims by a ping to the member concerned.
+    milliseconds verify_interval{500};
     milliseconds sync_interval{5'000};
     /// Bytes per second that the push-pull exchanges started here may cost.
-    double sync_bytes_per_s = 2'000;
+    double sync_bytes_per_s = 1'000;
     std::size_t indirect_probes = 3;
     std::size_t push_fan_out = 4;
-    /// Rounds of urgent pushes per second; more updates than that wait for the next probes.
-    double pushes_per_s = 0.5;
-    double push_burst = 4;
+    /// Bytes per second for pushes of news; more news than that waits for the next probes.
+    double push_bytes_per_s = 1'500;
+    double push_burst_bytes = 6'000;
+    /// Kept back for urgent updates while many members join.
+    double urgent_push_reserve_bytes = 3'000;
     std::size_t packet_limit = 1'200;
     /// An update is sent this many times the logarithm of the member count.
     double retransmit_factor = 3.0;
@@ -141,11 +142,10 @@
     void apply(const member& incoming, claim_source source, time_point now);
     void apply_to_self(const member& incoming);
     void adopt(const member& incoming, claim_source source, time_point now);
-    bool doubts_death(const member& incoming, const member& known, claim_source source,
-                      time_point now);
     void declare(std::uint64_t instance, liveness state, time_point now);
     void displace_at_address_of(const member& sender, time_point now);
     void announce_self(bool urgent);
+    void queue_update(std::uint64_t instance, bool urgent);
     void verify_later(const member& claim);
 
     // Messages.
@@ -170,7 +170,7 @@
     void expire_suspicions(time_point now);
     void retry_dead(time_point now);
     void verify_next(time_point now);
-    void push_urgent(time_point now);
+    void push_updates(time_point now);
 
     // Digests.
     std::uint64_t digest() const { return table_.digest() ^ member_table::digest_of(self_); }
@@ -190,8 +190,9 @@
     std::size_t probe_index_ = 0;
     std::unordered_map<std::uint64_t, relay> relays_;
     std::unordered_map<std::uint64_t, suspicion> suspicions_;
-    std::deque<std::uint64_t> verify_order_;
+    /// Doubtful claims that are still to be checked, and the order of the checks.
     std::unordered_map<std::uint64_t, member> verify_;
+    std::vector<std::uint64_t> verify_order_;
     std::uint64_t last_sequence_ = 0;
     std::uint64_t config_next_offset_ = 0;
     time_point last_seen_;
@@ -202,7 +203,9 @@
     time_point next_sync_;
     time_point next_purge_;
     time_point push_refilled_;
-    double push_tokens_;
+    double push_budget_bytes_;
+    bool push_due_ = false;
+    bool urgent_push_due_ = false;
 };
 
 } // namespace chestnutstand
--- a/include/chestnutstand/membership/update_queue.h
+++ b/include/chestnutstand/membership/update_queue.h
@@ -22,9 +22,6 @@
 
     std::size_t size() const { return entries_.size(); }
 
-    /// Whether an urgent element has not been sent at all.
-    bool has_unsent_urgent() const { return unsent_urgent_ > 0; }
-
 private:
     struct entry {
         std::size_t sent = 0;
@@ -36,7 +33,6 @@
 
     std::unordered_map<std::uint64_t, entry> entries_;
     std::uint64_t next_order_ = 0;
-    std::size_t unsent_urgent_ = 0;
 };
 
 } // namespace chestnutstand
--- a/lib/membership/membership.cpp
+++ b/lib/membership/membership.cpp
@@ -18,6 +18,8 @@
 constexpr milliseconds sync_timeout{2'000};
 constexpr milliseconds first_join_interval{250};
 constexpr milliseconds longest_join_interval{10'000};
+// A member of the cluster can wait for the log; 7,400 of them must not load it while it recovers.
+constexpr milliseconds longest_joined_interval{120'000};
 constexpr double join_backoff = 1.5;
 // Spreads the appends of nodes that start together; those that come later find enough records.
 constexpr milliseconds append_jitter{1'000};
@@ -293,7 +295,8 @@
         delay = refresh_interval * jitter(random_);
     }
     else {
-        join_interval_ = std::min(join_interval_ * join_backoff, longest_join_interval);
+        join_interval_ = std::min(join_interval_ * join_backoff,
+                                  synced_ ? longest_joined_interval : longest_join_interval);
     }
     loop_.post_after(delay, guarded([settled](impl& self) {
                          if (!settled || self.protocol_->table().live().empty()) {
--- a/lib/membership/swim.cpp
+++ b/lib/membership/swim.cpp
@@ -33,7 +33,7 @@
     : self_{std::move(self)}, options_{options}, random_{random_seed}, last_seen_{now},
       table_changed_{now}, next_probe_{now + options.probe_period},
       next_dead_retry_{now + options.dead_retry}, next_verify_{now}, next_sync_{now},
-      next_purge_{now}, push_refilled_{now}, push_tokens_{options.push_burst}
+      next_purge_{now}, push_refilled_{now}, push_budget_bytes_{options.push_burst_bytes}
 {
     self_.state = liveness::alive;
 }
@@ -144,7 +144,13 @@
         verify_later(*known);
         return;
     }
-    if (!supersedes(incoming, *known) || doubts_death(incoming, *known, source, now)) {
+    if (!supersedes(incoming, *known)) {
+        return;
+    }
+    if (incoming.state == liveness::dead && known->state == liveness::alive) {
+        // A death without a suspicion may come from the other side of a partition. The member is
+        // probed with the claim, so that it can refute.
+        verify_later(incoming);
         return;
     }
     adopt(incoming, source, now);
@@ -162,25 +168,6 @@
     announce_self(true);
 }
 
-/// A death that comes without a suspicion, as after a partition, is doubted: the member is
-/// suspected and pinged, so that it can refute. Returns true when the claim has been dealt with.
-bool swim::doubts_death(const member& incoming, const member& known, claim_source source,
-                        time_point now)
-{
-    if (incoming.state != liveness::dead || known.state != liveness::alive) {
-        return false;
-    }
-    verify_later(incoming);
-    const bool from_sync = source == claim_source::sync || source == claim_source::bulk_sync;
-    if (from_sync && incoming.incarnation == known.incarnation) {
-        return true;
-    }
-    member suspected = incoming;
-    suspected.state = liveness::suspect;
-    adopt(suspected, source, now);
-    return true;
-}
-
 void swim::adopt(const member& incoming, claim_source source, time_point now)
 {
     const std::uint64_t instance = incoming.node.instance;
@@ -209,7 +196,7 @@
                             instance);
     }
     if (source != claim_source::bulk_sync) {
-        queue_.add(instance, urgent);
+        queue_update(instance, urgent);
     }
     if (revived && is_live(incoming) && source == claim_source::direct) {
         request_sync(incoming.node, now);
@@ -246,10 +233,17 @@
 
 void swim::announce_self(bool urgent)
 {
-    queue_.add(self_.node.instance, urgent);
+    queue_update(self_.node.instance, urgent);
     output_.members_changed = true;
 }
 
+void swim::queue_update(std::uint64_t instance, bool urgent)
+{
+    queue_.add(instance, urgent);
+    push_due_ = true;
+    urgent_push_due_ = urgent_push_due_ || urgent;
+}
+
 void swim::verify_later(const member& claim)
 {
     const auto [entry, inserted] = verify_.insert_or_assign(claim.node.instance, claim);
--- a/lib/membership/swim_timers.cpp
+++ b/lib/membership/swim_timers.cpp
@@ -29,7 +29,7 @@
     }
     retry_dead(now);
     verify_next(now);
-    push_urgent(now);
+    push_updates(now);
     if (now >= next_purge_) {
         next_purge_ = now + purge_interval;
         table_.purge(now, options_.dead_retention);
@@ -188,30 +188,39 @@
         return;
     }
     next_verify_ = now + options_.verify_interval;
-    const std::uint64_t instance = verify_order_.front();
-    verify_order_.pop_front();
+    // In random order, so that nodes with the same claims check different ones first.
+    std::uniform_int_distribution<std::size_t> index{0, verify_order_.size() - 1};
+    std::swap(verify_order_[index(random_)], verify_order_.back());
+    const std::uint64_t instance = verify_order_.back();
+    verify_order_.pop_back();
     const member claim = verify_.at(instance);
     const member* known = table_.find(instance);
-    if (known != nullptr && known->incarnation <= claim.incarnation) {
+    if (known != nullptr && known->state == liveness::alive && supersedes(claim, *known)) {
+        start_probe(instance, now);
+    }
+    else if (known != nullptr && !is_live(*known) && !supersedes(*known, claim)) {
         ping(claim, ++last_sequence_);
     }
     verify_.erase(instance);
 }
 
-void swim::push_urgent(time_point now)
+void swim::push_updates(time_point now)
 {
-    const double refill = (now - push_refilled_).count() / 1000.0 * options_.pushes_per_s;
-    push_tokens_ = std::min(options_.push_burst, push_tokens_ + refill);
+    const double refill = (now - push_refilled_).count() / 1000.0 * options_.push_bytes_per_s;
+    push_budget_bytes_ = std::min(options_.push_burst_bytes, push_budget_bytes_ + refill);
     push_refilled_ = now;
-    if (!queue_.has_unsent_urgent() || push_tokens_ < 1.0) {
+    const double reserve = urgent_push_due_ ? 0.0 : options_.urgent_push_reserve_bytes;
+    if (!push_due_ || push_budget_bytes_ <= reserve) {
         return;
     }
-    push_tokens_ -= 1.0;
+    push_due_ = false;
+    urgent_push_due_ = false;
     for (const member* peer :
          table_.random_live(options_.push_fan_out, self_.node.instance, random_)) {
         gossip_message push;
         push.kind = gossip_kind::push;
         send(std::move(push), peer->node.address, peer->gossip_port, peer->node.instance);
+        push_budget_bytes_ -= static_cast<double>(output_.datagrams.back().payload.size());
     }
 }
 
--- a/lib/membership/update_queue.cpp
+++ b/lib/membership/update_queue.cpp
@@ -16,13 +16,7 @@
 void update_queue::add(std::uint64_t instance, bool urgent)
 {
     entry& queued = entries_[instance];
-    if (queued.urgent && queued.sent == 0) {
-        --unsent_urgent_;
-    }
     queued = {0, ++next_order_, urgent || (queued.urgent && queued.sent == 0)};
-    if (queued.urgent) {
-        ++unsent_urgent_;
-    }
 }
 
 void update_queue::take(std::size_t limit, std::size_t max_sent,
@@ -60,9 +54,6 @@
 void update_queue::mark_sent(std::uint64_t instance, std::size_t limit)
 {
     const auto found = entries_.find(instance);
-    if (found->second.urgent && found->second.sent == 0) {
-        --unsent_urgent_;
-    }
     if (++found->second.sent >= limit) {
         entries_.erase(found);
     }
