Add adaptive concurrency limit

Latency is compared with a baseline per priority class, because a change of the class mix alone would look like congestion. A series of decreases is checked after each halving: if the latency did not fall by a quarter, it does not come from our concurrency (for example a noisy neighbour), the baseline is adopted and the limit grows back. Without this check a constant slowdown would drive the limit to one and multiply the loss of throughput.

--- /dev/null
+++ b/include/chestnutstand/admission/decaying_mean.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "chestnutstand/support/clock.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace chestnutstand {
+
+/// Factor by which something that loses half of itself per half-life shrinks in the given time.
+inline double decay_factor(milliseconds elapsed, milliseconds half_life)
+{
+    return std::exp2(-std::max(0.0, elapsed / half_life));
+}
+
+/// Moving average that loses its confidence while no samples arrive, so that a decision based on it
+/// cannot cut off the samples that would correct it.
+class decaying_mean {
+public:
+    decaying_mean(double memory_samples, milliseconds half_life)
+        : memory_samples_{memory_samples}, half_life_{half_life}
+    {
+    }
+
+    void add(double value, time_point now)
+    {
+        weight_ = std::min(weight_ * decay_factor(now - last_, half_life_), memory_samples_ - 1.0);
+        weight_ += 1.0;
+        mean_ += (value - mean_) / weight_;
+        last_ = now;
+    }
+
+    /// The mean, shrinking towards zero since the last sample; zero before the first.
+    double optimistic(time_point now) const
+    {
+        return mean_ * decay_factor(now - last_, half_life_);
+    }
+
+    /// The mean, moving towards the prior as the samples age; the prior before the first sample.
+    double blended(double prior, time_point now) const
+    {
+        const double confidence = std::min(1.0, weight_ * decay_factor(now - last_, half_life_));
+        return mean_ * confidence + prior * (1.0 - confidence);
+    }
+
+private:
+    double memory_samples_;
+    milliseconds half_life_;
+    double mean_ = 0.0;
+    double weight_ = 0.0;
+    time_point last_{};
+};
+
+/// Rate of events per millisecond, averaged over about the half-life.
+class decaying_rate {
+public:
+    explicit decaying_rate(milliseconds half_life) : half_life_{half_life} {}
+
+    void add(time_point now)
+    {
+        events_ = events_ * decay_factor(now - last_, half_life_) + 1.0;
+        last_ = std::max(last_, now);
+    }
+
+    double per_ms(time_point now) const
+    {
+        // The weights of past events sum to half_life / ln 2.
+        constexpr double ln2 = 0.6931471805599453;
+        return events_ * decay_factor(now - last_, half_life_) * ln2 / half_life_.count();
+    }
+
+private:
+    milliseconds half_life_;
+    double events_ = 0.0;
+    time_point last_{};
+};
+
+} // namespace chestnutstand
--- /dev/null
+++ b/lib/admission/concurrency_limit.cpp
@@ -0,0 +1,173 @@
+#include "chestnutstand/admission/concurrency_limit.h"
+
+#include <algorithm>
+
+namespace chestnutstand {
+namespace {
+
+// Mean of 16 exponentially distributed latencies varies by a quarter of itself, so that chance
+// alone rarely doubles it.
+constexpr std::uint32_t min_window_samples = 16;
+constexpr double congested_ratio = 2.0;
+// Below this ratio the limit may grow; between the two it is kept, so that it does not oscillate.
+constexpr double calm_ratio = 1.5;
+constexpr double shed_factor = 0.7;
+constexpr double latency_factor = 0.8;
+// When half of the concurrency does not lower the latency by at least a quarter, the latency does
+// not come from our concurrency, and a lower limit would only lose throughput.
+constexpr double helpful_ratio = 0.75;
+constexpr double baseline_fall = 0.3;
+constexpr double baseline_rise = 0.05;
+// Every growth past the upstream's real capacity costs a shed request; this bounds their rate.
+constexpr milliseconds growth_pause_after_shed{1000};
+
+} // namespace
+
+concurrency_limit::concurrency_limit(std::uint32_t slots)
+    : slots_{std::max(1U, slots)}, limit_{slots_}
+{
+}
+
+void concurrency_limit::set_slots(std::uint32_t slots)
+{
+    slots = std::max(1U, slots);
+    limit_ = limit_ == slots_ ? slots : std::min(limit_, slots);
+    slots_ = slots;
+}
+
+void concurrency_limit::forget_baselines()
+{
+    classes_.clear();
+    congestion_.reset();
+    clear_window();
+}
+
+void concurrency_limit::observe(const observation& seen, time_point now)
+{
+    // A request that started before the last decrease tells about the limit before it.
+    if (last_decrease_ && seen.started < *last_decrease_) {
+        return;
+    }
+    switch (seen.sample.kind) {
+    case sample_kind::uninformative:
+        return;
+    case sample_kind::shed:
+        last_shed_ = now;
+        decrease(shed_factor, now);
+        return;
+    case sample_kind::completed:
+    case sample_kind::timed_out:
+        break;
+    }
+    if (classes_.size() <= seen.priority) {
+        classes_.resize(seen.priority + 1);
+    }
+    auto& window = classes_[seen.priority];
+    window.latency_sum_ms += seen.sample.latency.count();
+    ++window.count;
+    ++window_count_;
+    window_peak_ = std::max(window_peak_, seen.in_flight);
+    if (window_count_ >= window_size()) {
+        close_window(now);
+    }
+}
+
+std::uint32_t concurrency_limit::window_size() const
+{
+    return std::max(min_window_samples, 2 * limit_);
+}
+
+void concurrency_limit::close_window(time_point now)
+{
+    const double ratio = latency_ratio();
+    const bool congested = ratio > congested_ratio;
+    const bool fully_used = window_peak_ >= limit_;
+    const bool may_grow = !last_shed_ || now - *last_shed_ >= growth_pause_after_shed;
+    update_baselines(congested);
+    clear_window();
+    if (congested) {
+        react_to_congestion(ratio, now);
+        return;
+    }
+    if (ratio < calm_ratio) {
+        congestion_.reset();
+        if (fully_used && may_grow) {
+            limit_ = std::min(limit_ + 1, slots_);
+        }
+    }
+}
+
+/// Mean of latency / baseline over the samples of the window.
+double concurrency_limit::latency_ratio()
+{
+    double sum = 0.0;
+    for (auto& window : classes_) {
+        if (window.count == 0) {
+            continue;
+        }
+        if (window.baseline_ms <= 0.0) {
+            window.baseline_ms = window.latency_sum_ms / window.count;
+        }
+        sum += window.baseline_ms > 0.0 ? window.latency_sum_ms / window.baseline_ms : window.count;
+    }
+    return sum / window_count_;
+}
+
+void concurrency_limit::update_baselines(bool congested)
+{
+    for (auto& window : classes_) {
+        if (window.count == 0) {
+            continue;
+        }
+        const double difference = window.latency_sum_ms / window.count - window.baseline_ms;
+        const double trust = std::min(1.0, window.count / static_cast<double>(min_window_samples));
+        if (difference < 0.0) {
+            window.baseline_ms += difference * baseline_fall * trust;
+        }
+        else if (!congested) {
+            window.baseline_ms += difference * baseline_rise * trust;
+        }
+    }
+}
+
+void concurrency_limit::react_to_congestion(double ratio, time_point now)
+{
+    if (!congestion_) {
+        congestion_ = congestion{limit_, ratio};
+    }
+    const bool halved = limit_ <= std::max(1U, congestion_->limit_before / 2);
+    if (!halved) {
+        decrease(latency_factor, now);
+        return;
+    }
+    if (ratio <= helpful_ratio * congestion_->ratio_before) {
+        // Lowering the limit helps; the next halving has to show it again.
+        congestion_ = congestion{limit_, ratio};
+        decrease(latency_factor, now);
+        return;
+    }
+    for (auto& window : classes_) {
+        window.baseline_ms *= ratio;
+    }
+    congestion_.reset();
+}
+
+void concurrency_limit::decrease(double factor, time_point now)
+{
+    const auto scaled = static_cast<std::uint32_t>(limit_ * factor);
+    limit_ = std::max(1U, std::min(scaled, limit_ - 1));
+    last_decrease_ = now;
+    clear_window();
+}
+
+void concurrency_limit::clear_window()
+{
+    for (auto& window : classes_) {
+        window.latency_sum_ms = 0.0;
+        window.count = 0;
+    }
+    window_count_ = 0;
+    window_peak_ = 0;
+}
+
+} // namespace chestnutstand
