Add admission queue with guaranteed shares and early refusal

The shares use a counter per class that grows with every dispatch while the class is backlogged; serving the largest earned counter bounds the deviation by 1 + 1/2 + ... + 1/K + share, which the property test uses as its tolerance.

A class whose deadlines are shorter than the wait for its share would be refused on arrival each time, never be backlogged and so never earn its share. It therefore also earns while it is refused with an empty queue.

Measured service times fade while no samples arrive: without that, one slow phase would refuse all requests and with them the samples that end the refusal.

--- a/include/chestnutstand/admission/decaying_mean.h
+++ b/include/chestnutstand/admission/decaying_mean.h
@@ -30,6 +30,9 @@
         last_ = now;
     }
 
+    /// The mean of the last samples, whatever their age.
+    double mean() const { return mean_; }
+
     /// The mean, shrinking towards zero since the last sample; zero before the first.
     double optimistic(time_point now) const
     {
--- /dev/null
+++ b/lib/admission/admission_queue.cpp
@@ -0,0 +1,380 @@
+#include "chestnutstand/admission/admission_queue.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <numeric>
+
+namespace chestnutstand {
+namespace {
+
+constexpr double service_time_samples = 32.0;
+constexpr milliseconds service_time_half_life{500};
+constexpr double min_service_time_ms = 0.01;
+// Half of the slack is left for the variation of the estimate and of the service time.
+constexpr double overloaded_wait_of_slack = 0.5;
+// Rounding of sums of shares must not delay an earned dispatch.
+constexpr double earned_dispatch = 1.0 - 1e-9;
+// A class without requests for this long is not expected back within the next moments.
+constexpr milliseconds headroom_memory{10'000};
+// Waiting a twentieth of the target for a free slot is not worth an idle slot.
+constexpr double negligible_wait_of_target = 0.05;
+
+double sum_of_weights(const service_config& service)
+{
+    return std::accumulate(
+        service.priorities.begin(), service.priorities.end(), 0.0,
+        [](double sum, const priority_config& priority) { return sum + priority.weight; });
+}
+
+double guaranteed_share(const service_config& service, const priority_config& priority)
+{
+    const double sum = sum_of_weights(service);
+    return sum > 0.0 ? service.reserve * priority.weight / sum : 0.0;
+}
+
+} // namespace
+
+admission_queue::admission_queue(const service_config& service, std::uint32_t slots)
+    : limit_{slots}, service_time_{service_time_samples, service_time_half_life}
+{
+    set_classes(service);
+}
+
+std::optional<std::size_t> admission_queue::find_priority(std::string_view name) const
+{
+    for (std::size_t i = 0; i < classes_.size(); ++i) {
+        if (classes_[i].config().name == name) {
+            return i;
+        }
+    }
+    return std::nullopt;
+}
+
+offer_result admission_queue::offer(std::uint64_t id, std::size_t priority, time_point deadline,
+                                    time_point now)
+{
+    if (const auto why = refusal_of(id, priority, deadline, now); why != reason::none) {
+        return {admission::refused, why};
+    }
+    auto& queue = classes_[priority];
+    queue.arrivals().add(now);
+    queue.last_offer = now;
+    queue.push({id, now, deadline}, now);
+    queued_[id] = priority;
+    if (queue.size() == 1 && pick(now) == priority) {
+        start_next_of(priority, now);
+        return {admission::admitted, reason::none};
+    }
+    return {admission::queued, reason::none};
+}
+
+reason admission_queue::refusal_of(std::uint64_t id, std::size_t priority, time_point deadline,
+                                   time_point now)
+{
+    if (draining_) {
+        return reason::draining;
+    }
+    if (priority >= classes_.size()) {
+        return reason::unknown_priority;
+    }
+    auto& queue = classes_[priority];
+    if (queued_.contains(id) || running_.contains(id)) {
+        return reason::internal;
+    }
+    if (queue.full()) {
+        return reason::queue_full;
+    }
+    const auto wait = expected_wait(priority, now);
+    if (now + wait + milliseconds{queue.service_time().optimistic(now)} >= deadline) {
+        queue.refused_while_empty = queue.empty();
+        return reason::deadline_unmeetable;
+    }
+    // An empty queue takes one request whatever the estimate, so that the class stays backlogged
+    // and gets its share.
+    if (!queue.empty() && queue.overloaded(now) &&
+        wait > queue.target_slack(now) * overloaded_wait_of_slack) {
+        queue.note_overload_refusal(now);
+        return reason::queue_full;
+    }
+    return reason::none;
+}
+
+std::optional<queue_decision> admission_queue::next(time_point now)
+{
+    if (auto expired = expire(now)) {
+        return expired;
+    }
+    if (const auto priority = pick(now)) {
+        return start_next_of(*priority, now);
+    }
+    return std::nullopt;
+}
+
+std::optional<queue_decision> admission_queue::expire(time_point now)
+{
+    if (!removed_classes_.empty()) {
+        const auto request = removed_classes_.front();
+        removed_classes_.pop_front();
+        return queue_decision{request.id, reason::unknown_priority, now - request.arrived};
+    }
+    for (auto& queue : classes_) {
+        if (const auto expired = queue.expire(now)) {
+            queued_.erase(expired->request.id);
+            return queue_decision{expired->request.id, expired->why,
+                                  now - expired->request.arrived};
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<std::size_t> admission_queue::pick(time_point now) const
+{
+    if (in_flight() >= limit_.value() || queued_.empty()) {
+        return std::nullopt;
+    }
+    if (const auto guaranteed = pick_guaranteed()) {
+        return guaranteed;
+    }
+    for (const auto priority : by_urgency_) {
+        if (!classes_[priority].empty() && has_room(priority, now)) {
+            return priority;
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<std::size_t> admission_queue::pick_guaranteed() const
+{
+    std::optional<std::size_t> best;
+    for (const auto priority : by_urgency_) {
+        const auto& queue = classes_[priority];
+        if (!queue.empty() && queue.credit >= earned_dispatch &&
+            (!best || queue.credit > classes_[*best].credit)) {
+            best = priority;
+        }
+    }
+    return best;
+}
+
+queue_decision admission_queue::start_next_of(std::size_t priority, time_point now)
+{
+    auto& queue = classes_[priority];
+    settle_credit(priority);
+    const auto request = queue.pop(now);
+    queue.dispatches().add(now);
+    ++queue.running;
+    queued_.erase(request.id);
+    running_[request.id] = {priority, now};
+    return {request.id, reason::none, now - request.arrived};
+}
+
+void admission_queue::settle_credit(std::size_t dispatched)
+{
+    for (auto& queue : classes_) {
+        if (!queue.empty()) {
+            queue.credit += queue.guaranteed_share();
+        }
+        else if (queue.refused_while_empty) {
+            queue.credit =
+                std::max(queue.credit, std::min(1.0, queue.credit + queue.guaranteed_share()));
+        }
+    }
+    auto& credit = classes_[dispatched].credit;
+    credit = std::max(0.0, credit - 1.0);
+}
+
+bool admission_queue::has_room(std::size_t priority, time_point now) const
+{
+    return in_flight() + headroom(priority, now) < limit_.value();
+}
+
+std::uint32_t admission_queue::headroom(std::size_t priority, time_point now) const
+{
+    const auto& queue = classes_[priority];
+    const double release_interval_ms =
+        queue.service_time().blended(queue.config().latency_target.count(), now) / limit_.value();
+    double expected = 0.0;
+    std::uint32_t running = 0;
+    bool wanted = false;
+    for (const auto urgent : by_urgency_) {
+        if (urgent == priority) {
+            break;
+        }
+        const auto& other = classes_[urgent];
+        running += other.running;
+        if (!other.last_offer || now - *other.last_offer > headroom_memory) {
+            continue;
+        }
+        const double negligible_ms =
+            other.config().latency_target.count() * negligible_wait_of_target;
+        wanted = wanted || release_interval_ms > negligible_ms;
+        expected += other.arrivals().per_ms(now) * other.service_time().optimistic(now);
+    }
+    if (!wanted) {
+        return 0;
+    }
+    const double needed = std::max(1.0, std::ceil(expected + std::sqrt(expected)));
+    const auto reserved = static_cast<std::uint32_t>(std::min<double>(needed, limit_.value() - 1));
+    return reserved > running ? reserved - running : 0;
+}
+
+bool admission_queue::finish(std::uint64_t id, const upstream_sample& sample, time_point now)
+{
+    const auto found = running_.find(id);
+    if (found == running_.end()) {
+        return false;
+    }
+    const auto request = found->second;
+    const auto running = in_flight();
+    running_.erase(found);
+    if (!request.priority) {
+        return true;
+    }
+    auto& queue = classes_[*request.priority];
+    --queue.running;
+    limit_.observe({sample, *request.priority, request.started, running}, now);
+    if (sample.kind == sample_kind::completed || sample.kind == sample_kind::timed_out) {
+        queue.service_time().add(sample.latency.count(), now);
+        service_time_.add(sample.latency.count(), now);
+    }
+    return true;
+}
+
+bool admission_queue::remove(std::uint64_t id)
+{
+    if (const auto found = queued_.find(id); found != queued_.end()) {
+        classes_[found->second].remove(id);
+        queued_.erase(found);
+        return true;
+    }
+    return std::erase_if(removed_classes_, [id](const auto& request) { return request.id == id; }) >
+           0;
+}
+
+std::optional<time_point> admission_queue::next_expiry(time_point now) const
+{
+    std::optional<time_point> earliest;
+    for (const auto& queue : classes_) {
+        if (const auto due = queue.next_expiry(now); due && (!earliest || *due < *earliest)) {
+            earliest = due;
+        }
+    }
+    return earliest;
+}
+
+milliseconds admission_queue::expected_wait(std::size_t priority, time_point now)
+{
+    auto& queue = classes_[priority];
+    const auto own = queue.ahead_of_new(now);
+    std::size_t more_urgent = 0;
+    double taken_per_ms = 0.0;
+    double other_guarantees = 0.0;
+    bool is_more_urgent = true;
+    for (const auto other : by_urgency_) {
+        if (other == priority) {
+            is_more_urgent = false;
+        }
+        else if (is_more_urgent) {
+            more_urgent += classes_[other].size();
+            taken_per_ms += classes_[other].dispatches().per_ms(now);
+        }
+        else if (!classes_[other].empty()) {
+            other_guarantees += classes_[other].guaranteed_share();
+        }
+    }
+    if (own == 0 && more_urgent == 0 && has_room(priority, now)) {
+        return milliseconds{0};
+    }
+    const double total_per_ms = dispatches_per_ms(priority, now);
+    // More urgent requests that arrive meanwhile go first, as many as recently, but whatever they
+    // take, the guaranteed share of the class remains.
+    const double left_per_ms = total_per_ms * (1.0 - other_guarantees) - taken_per_ms;
+    const double shared_ms = left_per_ms > 0.0
+                                 ? static_cast<double>(own + more_urgent + 1) / left_per_ms
+                                 : std::numeric_limits<double>::infinity();
+    const double unearned = std::max(0.0, static_cast<double>(own + 1) - queue.credit);
+    const double guaranteed_per_ms = total_per_ms * queue.guaranteed_share();
+    const double guaranteed_ms = guaranteed_per_ms > 0.0
+                                     ? unearned / guaranteed_per_ms + 1.0 / total_per_ms
+                                     : std::numeric_limits<double>::infinity();
+    return milliseconds{std::min(shared_ms, guaranteed_ms)};
+}
+
+/// Rate at which the upstream takes requests while it is fully used. Before anything has been
+/// measured, the latency target of the class stands in for the service time: an empty measurement
+/// must neither admit without bound nor refuse all.
+double admission_queue::dispatches_per_ms(std::size_t priority, time_point now) const
+{
+    const double prior_ms = classes_[priority].config().latency_target.count();
+    return limit_.value() / std::max(min_service_time_ms, service_time_.blended(prior_ms, now));
+}
+
+void admission_queue::set_classes(const service_config& service)
+{
+    std::vector<class_queue> previous;
+    previous.swap(classes_);
+    std::vector<std::optional<std::size_t>> new_index(previous.size());
+    for (const auto& priority : service.priorities) {
+        const double share = guaranteed_share(service, priority);
+        const auto kept =
+            std::find_if(previous.begin(), previous.end(), [&](const class_queue& queue) {
+                return queue.config().name == priority.name;
+            });
+        if (kept == previous.end()) {
+            classes_.emplace_back(priority, share, service.queue_limit_per_priority);
+            continue;
+        }
+        new_index[static_cast<std::size_t>(kept - previous.begin())] = classes_.size();
+        classes_.push_back(std::move(*kept));
+        classes_.back().configure(priority, share, service.queue_limit_per_priority);
+    }
+    for (std::size_t i = 0; i < previous.size(); ++i) {
+        while (!new_index[i]) {
+            const auto request = previous[i].evict();
+            if (!request) {
+                break;
+            }
+            queued_.erase(request->id);
+            removed_classes_.push_back(*request);
+        }
+    }
+    for (auto& [id, priority] : queued_) {
+        priority = *new_index[priority];
+    }
+    for (auto& [id, request] : running_) {
+        request.priority = request.priority ? new_index[*request.priority] : std::nullopt;
+    }
+    bool changed = previous.size() != classes_.size();
+    for (std::size_t i = 0; i < new_index.size(); ++i) {
+        changed = changed || new_index[i] != i;
+    }
+    if (changed) {
+        limit_.forget_baselines();
+    }
+    sort_by_urgency();
+}
+
+void admission_queue::sort_by_urgency()
+{
+    by_urgency_.resize(classes_.size());
+    std::iota(by_urgency_.begin(), by_urgency_.end(), std::size_t{0});
+    std::stable_sort(by_urgency_.begin(), by_urgency_.end(), [this](auto left, auto right) {
+        return classes_[left].config().latency_target < classes_[right].config().latency_target;
+    });
+}
+
+load_report admission_queue::report() const
+{
+    load_report load;
+    load.in_flight = in_flight();
+    load.limit = limit_.value();
+    load.latency = milliseconds{service_time_.mean()};
+    load.draining = draining_;
+    for (const auto& queue : classes_) {
+        load.queues.push_back({queue.config().name, static_cast<std::uint32_t>(queue.size())});
+    }
+    return load;
+}
+
+} // namespace chestnutstand
--- /dev/null
+++ b/lib/admission/class_queue.cpp
@@ -0,0 +1,152 @@
+#include "chestnutstand/admission/class_queue.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace chestnutstand {
+namespace {
+
+constexpr double service_time_samples = 16.0;
+// A class that is refused because of its measured service time is tried again after a few of these.
+constexpr milliseconds measurement_half_life{500};
+// A queue that empties within two latency targets is a burst that the capacity can absorb.
+constexpr double overload_targets = 2.0;
+// A class whose service time exceeds its target is still given some time in the queue.
+constexpr double min_slack_of_target = 0.25;
+// Bounds the rate of wake-ups while an expiry time moves with the measured service time.
+constexpr milliseconds min_expiry_delay{1};
+
+} // namespace
+
+class_queue::class_queue(priority_config config, double guaranteed_share, std::size_t bound)
+    : config_{std::move(config)}, guaranteed_share_{guaranteed_share}, bound_{bound},
+      service_time_{service_time_samples, measurement_half_life}, arrivals_{measurement_half_life},
+      dispatches_{measurement_half_life}
+{
+}
+
+void class_queue::configure(priority_config config, double guaranteed_share, std::size_t bound)
+{
+    config_ = std::move(config);
+    guaranteed_share_ = guaranteed_share;
+    bound_ = bound;
+}
+
+void class_queue::push(const queued_request& request, time_point now)
+{
+    if (empty()) {
+        non_empty_since_ = now;
+    }
+    refused_while_empty = false;
+    in_time_.push_back(request);
+    positions_[request.id] = {false, std::prev(in_time_.end())};
+    by_deadline_.emplace(request.deadline, request.id);
+}
+
+bool class_queue::remove(std::uint64_t id)
+{
+    if (!positions_.contains(id)) {
+        return false;
+    }
+    take(id);
+    return true;
+}
+
+queued_request class_queue::pop(time_point now)
+{
+    move_late(now);
+    return take(in_time_.empty() ? late_.front().id : in_time_.front().id);
+}
+
+std::optional<expired_request> class_queue::expire(time_point now)
+{
+    if (empty()) {
+        return std::nullopt;
+    }
+    const milliseconds service{service_time_.optimistic(now)};
+    const auto [deadline, id] = *by_deadline_.begin();
+    if (deadline <= now + service) {
+        return expired_request{take(id), reason::deadline_unmeetable};
+    }
+    move_late(now);
+    if (!late_.empty() && overloaded(now)) {
+        note_overload_refusal(now);
+        return expired_request{take(late_.front().id), reason::queue_timeout};
+    }
+    return std::nullopt;
+}
+
+std::optional<queued_request> class_queue::evict()
+{
+    if (empty()) {
+        return std::nullopt;
+    }
+    return take(by_deadline_.begin()->second);
+}
+
+std::optional<time_point> class_queue::next_expiry(time_point now) const
+{
+    if (empty()) {
+        return std::nullopt;
+    }
+    auto due = by_deadline_.begin()->first - milliseconds{service_time_.optimistic(now)};
+    if (!in_time_.empty()) {
+        due = std::min(due, in_time_.front().arrived + target_slack(now));
+    }
+    return std::max(due, now + min_expiry_delay);
+}
+
+std::size_t class_queue::ahead_of_new(time_point now)
+{
+    move_late(now);
+    return in_time_.size();
+}
+
+milliseconds class_queue::target_slack(time_point now) const
+{
+    const milliseconds service{service_time_.optimistic(now)};
+    return std::max(config_.latency_target - service, config_.latency_target * min_slack_of_target);
+}
+
+bool class_queue::overloaded(time_point now)
+{
+    if (!overloaded_ && non_empty_since_ && now - *non_empty_since_ >= overload_interval()) {
+        overloaded_ = true;
+        last_overload_refusal_ = now;
+    }
+    if (overloaded_ && empty() && now - last_overload_refusal_ >= overload_interval()) {
+        overloaded_ = false;
+    }
+    return overloaded_;
+}
+
+milliseconds class_queue::overload_interval() const
+{
+    return config_.latency_target * overload_targets;
+}
+
+void class_queue::move_late(time_point now)
+{
+    const auto slack = target_slack(now);
+    while (!in_time_.empty() && in_time_.front().arrived + slack < now) {
+        positions_[in_time_.front().id].late = true;
+        late_.splice(late_.end(), in_time_, in_time_.begin());
+    }
+}
+
+queued_request class_queue::take(std::uint64_t id)
+{
+    const auto found = positions_.find(id);
+    const auto [late, at] = found->second;
+    const auto request = *at;
+    (late ? late_ : in_time_).erase(at);
+    by_deadline_.erase({request.deadline, id});
+    positions_.erase(found);
+    if (empty()) {
+        non_empty_since_.reset();
+        credit = std::min(credit, 1.0);
+    }
+    return request;
+}
+
+} // namespace chestnutstand
--- /dev/null
+++ b/unittests/admission/admission_properties_test.cpp
@@ -0,0 +1,318 @@
+#include "chestnutstand/admission/admission_queue.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <map>
+#include <numeric>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace chestnutstand {
+namespace {
+
+service_config random_service()
+{
+    service_config service;
+    service.reserve = *rc::gen::inRange(1, 11) / 10.0;
+    service.queue_limit_per_priority = *rc::gen::inRange<std::uint32_t>(1, 40);
+    const int classes = *rc::gen::inRange(1, 6);
+    for (int i = 0; i < classes; ++i) {
+        const milliseconds target{static_cast<double>(*rc::gen::inRange(1, 100) * 20)};
+        const double weight = *rc::gen::inRange(1, 10);
+        service.priorities.push_back({"class" + std::to_string(i), target, weight, true});
+    }
+    return service;
+}
+
+double share_of(const service_config& service, std::size_t priority)
+{
+    double sum = 0.0;
+    for (const auto& each : service.priorities) {
+        sum += each.weight;
+    }
+    return service.reserve * service.priorities[priority].weight / sum;
+}
+
+/// Drives a queue with random operations and follows the state of every request.
+class driver {
+public:
+    driver() : service{random_service()}, queue{service, *rc::gen::inRange<std::uint32_t>(1, 12)} {}
+
+    void step()
+    {
+        now += milliseconds{*rc::gen::inRange(0, 30) * 1.0};
+        switch (*rc::gen::inRange(0, 12)) {
+        case 0:
+            remove_any();
+            break;
+        case 1:
+            change_classes();
+            break;
+        case 2:
+            queue.set_slots(*rc::gen::inRange<std::uint32_t>(1, 12));
+            break;
+        case 3:
+        case 4:
+        case 5:
+            finish_any();
+            break;
+        default:
+            offer();
+        }
+        take_decisions();
+    }
+
+    void finish_all()
+    {
+        queue.drain();
+        while (!queue.idle()) {
+            now += milliseconds{10};
+            finish_any();
+            take_decisions();
+        }
+    }
+
+    service_config service;
+    admission_queue queue;
+    time_point now{milliseconds{1000}};
+    std::uint64_t offered = 0;
+    std::set<std::uint64_t> waiting;
+    std::set<std::uint64_t> running;
+    std::set<std::uint64_t> ended;
+
+private:
+    void start(std::uint64_t id)
+    {
+        RC_ASSERT(running.size() < queue.limit());
+        running.insert(id);
+    }
+
+    void end(std::uint64_t id) { RC_ASSERT(ended.insert(id).second); }
+
+    void offer()
+    {
+        const auto id = ++offered;
+        const auto priority = *rc::gen::inRange<std::size_t>(0, service.priorities.size());
+        const milliseconds timeout{*rc::gen::inRange(1, 3000) * 1.0};
+        const auto result = queue.offer(id, priority, now + timeout, now);
+        RC_ASSERT((result.result == admission::refused) == (result.why != reason::none));
+        switch (result.result) {
+        case admission::admitted:
+            start(id);
+            break;
+        case admission::queued:
+            waiting.insert(id);
+            break;
+        case admission::refused:
+            end(id);
+        }
+    }
+
+    void take_decisions()
+    {
+        while (const auto decision = queue.next(now)) {
+            // Also fails for a request that was refused after its dispatch or handed out twice.
+            RC_ASSERT(waiting.erase(decision->id) == 1U);
+            if (decision->starts()) {
+                start(decision->id);
+            }
+            else {
+                end(decision->id);
+            }
+        }
+        RC_ASSERT(queue.in_flight() == running.size());
+    }
+
+    void finish_any()
+    {
+        if (running.empty()) {
+            return;
+        }
+        auto chosen = running.begin();
+        std::advance(chosen, *rc::gen::inRange<std::size_t>(0, running.size()));
+        const auto kind = static_cast<sample_kind>(*rc::gen::inRange(0, 4));
+        const milliseconds latency{*rc::gen::inRange(0, 800) * 1.0};
+        RC_ASSERT(queue.finish(*chosen, {kind, latency}, now));
+        RC_ASSERT(!queue.finish(*chosen, {kind, latency}, now));
+        end(*chosen);
+        running.erase(chosen);
+    }
+
+    void remove_any()
+    {
+        const auto id = *rc::gen::inRange<std::uint64_t>(0, offered + 1);
+        const bool removed = queue.remove(id);
+        RC_ASSERT(removed == waiting.contains(id));
+        if (removed) {
+            waiting.erase(id);
+            end(id);
+        }
+    }
+
+    void change_classes()
+    {
+        service = random_service();
+        queue.set_classes(service);
+    }
+};
+
+// Guards against requests that are lost, decided twice, refused after their dispatch or started
+// beyond the limit, and against a drain that does not end.
+TEST(admission_properties, every_request_ends_exactly_once_within_the_limit)
+{
+    EXPECT_TRUE(rc::check([] {
+        driver run;
+        const int steps = *rc::gen::inRange(0, 300);
+        for (int i = 0; i < steps; ++i) {
+            run.step();
+        }
+        run.finish_all();
+        RC_ASSERT(run.ended.size() == run.offered);
+    }));
+}
+
+/// Keeps given classes backlogged while the slots turn over and counts dispatches by class.
+class flood {
+public:
+    flood(const service_config& service, std::uint32_t slots)
+        : service_{service}, queue_{service, slots}
+    {
+    }
+
+    /// Offers to a class until it is refused, then ends the request that has run longest.
+    void round(const std::vector<std::size_t>& offering, double step_ms)
+    {
+        for (const auto priority : offering) {
+            refill(priority);
+        }
+        now_ += milliseconds{step_ms};
+        if (!running_.empty()) {
+            const auto [id, started] = running_.front();
+            running_.erase(running_.begin());
+            queue_.finish(id, {sample_kind::completed, now_ - started}, now_);
+        }
+        while (const auto decision = queue_.next(now_)) {
+            if (decision->starts()) {
+                running_.emplace_back(decision->id, now_);
+                ++dispatched[class_of_[decision->id]];
+                ++total;
+            }
+            refill(class_of_[decision->id]);
+        }
+    }
+
+    std::map<std::size_t, int> dispatched;
+    int total = 0;
+
+private:
+    void refill(std::size_t priority)
+    {
+        // Deadlines and targets are set aside here; what is tested is the order of service.
+        while (queue_.report().queues[priority].length < 2) {
+            class_of_[++last_id_] = priority;
+            const auto deadline = now_ + milliseconds{1e9};
+            const auto result = queue_.offer(last_id_, priority, deadline, now_).result;
+            if (result == admission::refused) {
+                return;
+            }
+            if (result == admission::admitted) {
+                running_.emplace_back(last_id_, now_);
+            }
+        }
+    }
+
+    service_config service_;
+    admission_queue queue_;
+    time_point now_{milliseconds{1000}};
+    std::uint64_t last_id_ = 0;
+    std::map<std::uint64_t, std::size_t> class_of_;
+    std::vector<std::pair<std::uint64_t, time_point>> running_;
+};
+
+std::vector<std::size_t> random_classes(const service_config& service)
+{
+    std::vector<std::size_t> chosen;
+    for (std::size_t i = 0; i < service.priorities.size(); ++i) {
+        if (*rc::gen::inRange(0, 4) != 0) {
+            chosen.push_back(i);
+        }
+    }
+    return chosen;
+}
+
+/// Bound of 1 + 1/2 + ... + 1/K + share from the documentation of admission_queue.
+double share_tolerance(const service_config& service, std::size_t priority)
+{
+    double tolerance = share_of(service, priority);
+    for (std::size_t i = 1; i <= service.priorities.size(); ++i) {
+        tolerance += 1.0 / static_cast<double>(i);
+    }
+    return tolerance;
+}
+
+// Guards against a backlogged class that gets less than its guaranteed share, whichever classes
+// flood the queue.
+TEST(admission_properties, backlogged_classes_keep_their_share)
+{
+    EXPECT_TRUE(rc::check([] {
+        const auto service = random_service();
+        const auto slots = *rc::gen::inRange<std::uint32_t>(1, 12);
+        const auto backlogged = random_classes(service);
+        flood run{service, slots};
+        for (int i = 0; i < 300; ++i) {
+            run.round(backlogged, *rc::gen::inRange(1, 20));
+            for (const auto priority : backlogged) {
+                const double least =
+                    share_of(service, priority) * run.total - share_tolerance(service, priority);
+                RC_ASSERT(run.dispatched[priority] >= least);
+            }
+        }
+    }));
+}
+
+// Guards against a less urgent class that starves in a flood of the most urgent one, also when its
+// deadlines are shorter than the wait for its share.
+TEST(admission_properties, no_class_starves_even_with_short_deadlines)
+{
+    EXPECT_TRUE(rc::check([] {
+        service_config service;
+        const double weight = *rc::gen::inRange(1, 100);
+        service.priorities = {{"urgent", milliseconds{20}, weight, true},
+                              {"batch", milliseconds{2000}, 1.0, true}};
+        admission_queue queue{service, 1};
+        time_point now{};
+        std::uint64_t id = 0;
+        std::uint64_t running = 0;
+        std::map<std::uint64_t, bool> is_batch;
+        int batch_dispatched = 0;
+        const int rounds = 6 * static_cast<int>(1.0 / share_of(service, 1));
+        for (int i = 0; i < rounds; ++i) {
+            const auto start = [&](std::uint64_t started) {
+                running = started;
+                // The estimates of the first half do not know the flood yet.
+                batch_dispatched += is_batch[started] && i >= rounds / 2 ? 1 : 0;
+            };
+            for (const bool batch : {false, false, true}) {
+                is_batch[++id] = batch;
+                const auto deadline = now + milliseconds{batch ? 25.0 : 200.0};
+                if (queue.offer(id, batch ? 1 : 0, deadline, now).result == admission::admitted) {
+                    start(id);
+                }
+            }
+            now += milliseconds{10};
+            queue.finish(running, {sample_kind::completed, milliseconds{10}}, now);
+            while (const auto decision = queue.next(now)) {
+                if (decision->starts()) {
+                    start(decision->id);
+                }
+            }
+        }
+        RC_ASSERT(batch_dispatched >= 2);
+    }));
+}
+
+} // namespace
+} // namespace chestnutstand
--- /dev/null
+++ b/unittests/admission/admission_queue_test.cpp
@@ -0,0 +1,291 @@
+#include "chestnutstand/admission/admission_queue.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+namespace chestnutstand {
+namespace {
+
+constexpr std::uint32_t slots = 4;
+constexpr upstream_sample no_information{};
+
+service_config three_classes()
+{
+    service_config service;
+    service.priorities = {{"normal", milliseconds{250}, 3.0, false},
+                          {"urgent", milliseconds{50}, 8.0, true},
+                          {"batch", milliseconds{2000}, 1.0, true}};
+    return service;
+}
+constexpr std::size_t normal = 0;
+constexpr std::size_t urgent = 1;
+constexpr std::size_t batch = 2;
+
+class admission_queue_test : public testing::Test {
+protected:
+    void elapse(double ms) { now_ += milliseconds{ms}; }
+
+    admission offer(std::size_t priority, double timeout_ms = 60'000)
+    {
+        last_offer_ = queue_.offer(++last_id_, priority, now_ + milliseconds{timeout_ms}, now_);
+        return last_offer_.result;
+    }
+
+    /// Fills all slots; the requests have the ids 1 to slots.
+    void fill_slots(std::size_t priority)
+    {
+        for (std::uint32_t i = 0; i < slots; ++i) {
+            ASSERT_EQ(offer(priority), admission::admitted);
+        }
+    }
+
+    /// Runs requests of a class one after the other.
+    void measure(std::size_t priority, double service_ms, int count)
+    {
+        for (int i = 0; i < count; ++i) {
+            ASSERT_EQ(offer(priority), admission::admitted);
+            elapse(service_ms);
+            queue_.finish(last_id_, {sample_kind::completed, milliseconds{service_ms}}, now_);
+        }
+    }
+
+    time_point now_{milliseconds{1000}};
+    admission_queue queue_{three_classes(), slots};
+    std::uint64_t last_id_ = 0;
+    offer_result last_offer_;
+};
+
+// Guards against order of arrival or of the document deciding instead of the latency target.
+TEST_F(admission_queue_test, serves_the_lowest_target_first)
+{
+    fill_slots(urgent);
+    offer(batch);
+    offer(normal);
+    offer(urgent);
+    std::vector<std::uint64_t> order;
+    for (std::uint64_t id = 1; id <= 3; ++id) {
+        queue_.finish(id, no_information, now_);
+        order.push_back(queue_.next(now_).value().id);
+    }
+    EXPECT_EQ(order, (std::vector<std::uint64_t>{slots + 3, slots + 2, slots + 1}));
+}
+
+// Guards against a request that is started although it could only end after its deadline, and
+// against one that waits for its refusal.
+TEST_F(admission_queue_test, refuses_on_arrival_what_cannot_meet_its_deadline)
+{
+    measure(normal, 40, 20);
+    EXPECT_EQ(offer(normal, 30), admission::refused);
+    EXPECT_EQ(last_offer_.why, reason::deadline_unmeetable);
+    fill_slots(normal);
+    for (int i = 0; i < 8; ++i) {
+        EXPECT_EQ(offer(normal), admission::queued);
+    }
+    // Two rounds of four requests of 40 ms are ahead.
+    EXPECT_EQ(offer(normal, 100), admission::refused);
+    EXPECT_EQ(last_offer_.why, reason::deadline_unmeetable);
+    EXPECT_EQ(offer(normal, 200), admission::queued);
+}
+
+// Guards against an upstream that stays cut off after it was slow, because refusing everything also
+// stops the measurements.
+TEST_F(admission_queue_test, recovers_after_a_slow_phase)
+{
+    measure(normal, 3000, 20);
+    int refused = 0;
+    for (int attempt = 0; attempt < 100; ++attempt) {
+        elapse(100);
+        if (offer(normal, 500) == admission::refused) {
+            ++refused;
+            continue;
+        }
+        elapse(5);
+        queue_.finish(last_id_, {sample_kind::completed, milliseconds{5}}, now_);
+    }
+    EXPECT_GT(refused, 0);
+    EXPECT_LT(refused, 50);
+    EXPECT_EQ(offer(normal, 500), admission::admitted);
+}
+
+// Guards against admitting without bound before the first measurement.
+TEST_F(admission_queue_test, bounds_the_wait_before_anything_is_measured)
+{
+    fill_slots(urgent);
+    int queued = 0;
+    while (queued < 1000 && offer(urgent, 500) == admission::queued) {
+        ++queued;
+    }
+    EXPECT_GT(queued, 0);
+    EXPECT_LT(queued, 50);
+    EXPECT_EQ(last_offer_.why, reason::deadline_unmeetable);
+}
+
+// Guards against a queue that grows without bound when no deadline limits it.
+TEST_F(admission_queue_test, bounds_each_class)
+{
+    fill_slots(batch);
+    const auto bound = three_classes().queue_limit_per_priority;
+    for (std::uint32_t i = 0; i < bound; ++i) {
+        ASSERT_EQ(offer(batch, 600'000), admission::queued);
+    }
+    EXPECT_EQ(offer(batch, 600'000), admission::refused);
+    EXPECT_EQ(last_offer_.why, reason::queue_full);
+    EXPECT_EQ(offer(urgent), admission::queued);
+}
+
+// Guards against queued requests that wait for ever while the upstream hangs.
+TEST_F(admission_queue_test, refuses_queued_requests_at_their_deadline)
+{
+    fill_slots(urgent);
+    ASSERT_EQ(offer(urgent, 400), admission::queued);
+    EXPECT_FALSE(queue_.next(now_));
+    elapse(401);
+    const auto decision = queue_.next(now_);
+    ASSERT_TRUE(decision);
+    EXPECT_EQ(decision->id, last_id_);
+    EXPECT_EQ(decision->refusal, reason::deadline_unmeetable);
+    EXPECT_FALSE(queue_.next(now_));
+}
+
+// Guards against a standing queue in which every request is served late.
+TEST_F(admission_queue_test, drops_late_requests_of_a_standing_queue)
+{
+    fill_slots(urgent);
+    ASSERT_EQ(offer(urgent), admission::queued);
+    const auto late = last_id_;
+    elapse(101);
+    ASSERT_EQ(offer(urgent), admission::queued);
+    const auto in_time = last_id_;
+    queue_.finish(1, no_information, now_);
+    const auto first = queue_.next(now_).value();
+    EXPECT_EQ(first.id, late);
+    EXPECT_EQ(first.refusal, reason::queue_timeout);
+    const auto second = queue_.next(now_).value();
+    EXPECT_EQ(second.id, in_time);
+    EXPECT_TRUE(second.starts());
+}
+
+// Guards against spare capacity that is refused to a late request, and against a late request that
+// makes the next one late as well.
+TEST_F(admission_queue_test, serves_late_requests_of_a_burst_after_those_in_time)
+{
+    fill_slots(urgent);
+    ASSERT_EQ(offer(urgent), admission::queued);
+    const auto late = last_id_;
+    elapse(60);
+    ASSERT_EQ(offer(urgent), admission::queued);
+    const auto in_time = last_id_;
+    queue_.finish(1, no_information, now_);
+    EXPECT_EQ(queue_.next(now_).value().id, in_time);
+    queue_.finish(2, no_information, now_);
+    const auto decision = queue_.next(now_).value();
+    EXPECT_EQ(decision.id, late);
+    EXPECT_TRUE(decision.starts());
+}
+
+// Guards against an urgent request that waits behind a full set of slow, less urgent ones, and
+// against slots that stay idle for urgent traffic long gone.
+TEST_F(admission_queue_test, keeps_headroom_for_recent_urgent_traffic)
+{
+    measure(urgent, 5, 5);
+    measure(batch, 500, 5);
+    for (std::uint32_t i = 0; i + 1 < slots; ++i) {
+        EXPECT_EQ(offer(batch), admission::admitted);
+    }
+    EXPECT_EQ(offer(batch), admission::queued);
+    EXPECT_FALSE(queue_.next(now_));
+    EXPECT_EQ(offer(urgent), admission::admitted);
+    for (std::uint64_t id = 1; id <= last_id_; ++id) {
+        queue_.finish(id, no_information, now_);
+    }
+    ASSERT_TRUE(queue_.next(now_).value().starts());
+    elapse(11'000);
+    for (std::uint32_t i = 1; i < slots; ++i) {
+        EXPECT_EQ(offer(batch), admission::admitted);
+    }
+}
+
+// Guards against an idle slot that is kept for urgent requests although slots become free quickly.
+TEST_F(admission_queue_test, keeps_no_headroom_when_slots_free_quickly)
+{
+    measure(urgent, 5, 5);
+    measure(batch, 5, 20);
+    for (std::uint32_t i = 0; i < slots; ++i) {
+        EXPECT_EQ(offer(batch), admission::admitted);
+    }
+}
+
+// Guards against a request that is started for a caller who has gone, and against taking a running
+// one for removed.
+TEST_F(admission_queue_test, removes_only_queued_requests)
+{
+    fill_slots(urgent);
+    ASSERT_EQ(offer(urgent), admission::queued);
+    EXPECT_FALSE(queue_.remove(1));
+    EXPECT_TRUE(queue_.remove(last_id_));
+    EXPECT_FALSE(queue_.remove(last_id_));
+    queue_.finish(1, no_information, now_);
+    EXPECT_FALSE(queue_.next(now_));
+}
+
+// Guards against requests that are lost or attributed to another class when classes change.
+TEST_F(admission_queue_test, keeps_requests_when_classes_change)
+{
+    fill_slots(batch);
+    offer(normal);
+    const auto of_removed_class = last_id_;
+    offer(urgent);
+    const auto kept = last_id_;
+    auto changed = three_classes();
+    changed.priorities = {{"new", milliseconds{10}, 1.0, false}, changed.priorities[urgent]};
+    queue_.set_classes(changed);
+    EXPECT_EQ(queue_.find_priority("urgent"), 1U);
+    EXPECT_EQ(queue_.find_priority("batch"), std::nullopt);
+    const auto refused = queue_.next(now_).value();
+    EXPECT_EQ(refused.id, of_removed_class);
+    EXPECT_EQ(refused.refusal, reason::unknown_priority);
+    EXPECT_FALSE(queue_.next(now_));
+    EXPECT_TRUE(queue_.finish(1, {sample_kind::completed, milliseconds{9}}, now_));
+    EXPECT_EQ(queue_.next(now_).value().id, kept);
+}
+
+// Guards against new work after the drain began, and against queued work that is dropped by it.
+TEST_F(admission_queue_test, drains)
+{
+    fill_slots(urgent);
+    ASSERT_EQ(offer(urgent), admission::queued);
+    const auto queued = last_id_;
+    queue_.drain();
+    EXPECT_EQ(offer(urgent), admission::refused);
+    EXPECT_EQ(last_offer_.why, reason::draining);
+    EXPECT_TRUE(queue_.report().draining);
+    queue_.finish(1, no_information, now_);
+    EXPECT_EQ(queue_.next(now_).value().id, queued);
+    for (const auto id : {std::uint64_t{2}, std::uint64_t{3}, std::uint64_t{4}, queued}) {
+        EXPECT_FALSE(queue_.idle());
+        EXPECT_TRUE(queue_.finish(id, no_information, now_));
+    }
+    EXPECT_TRUE(queue_.idle());
+}
+
+// Guards against load that is reported for the wrong class, which would misdirect other nodes.
+TEST_F(admission_queue_test, reports_load_by_class)
+{
+    measure(urgent, 8, 3);
+    fill_slots(urgent);
+    offer(batch);
+    offer(batch);
+    const auto load = queue_.report();
+    EXPECT_EQ(load.in_flight, slots);
+    EXPECT_EQ(load.limit, slots);
+    EXPECT_DOUBLE_EQ(load.latency.count(), 8.0);
+    ASSERT_EQ(load.queues.size(), 3U);
+    EXPECT_EQ(load.queues[batch].priority, "batch");
+    EXPECT_EQ(load.queues[batch].length, 2U);
+    EXPECT_EQ(load.queues[urgent].length, 0U);
+}
+
+} // namespace
+} // namespace chestnutstand
