--- a/include/chestnutstand/transport/peer_client.h
+++ b/include/chestnutstand/transport/peer_client.h
@@ -27,6 +27,8 @@
     settle_state state = settle_state::unknown;
     /// Set when the state is completed.
     http_response response;
+    /// Why the key was closed or its result is not known.
+    reason why = reason::none;
 };
 
 /// Record of the configuration stream as nodes pass it on.
@@ -51,7 +53,8 @@
 
     /// Runs a call on the upstream beside the target. A lost reply ends in outcome::unknown with
     /// reason::peer_connection_lost, a failed connection in outcome::not_run with
-    /// reason::peer_unreachable.
+    /// reason::peer_unreachable. Delivers the call at most once: a repeated delivery could be
+    /// refused after the first one has run, and the refusal would pass for a proof.
     virtual void execute(const node_reference& target, const call& what, call_done done) = 0;
 
     /// Hands a keyed call to its owner.
--- /dev/null
+++ b/lib/keys/executor_keys.cpp
@@ -0,0 +1,101 @@
+#include "chestnutstand/keys/executor_keys.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace chestnutstand {
+
+bool executor_keys::is_candidate(const idempotency_key& key) const
+{
+    return std::any_of(key.candidates.begin(), key.candidates.end(),
+                       [&](const auto& node) { return node.instance == instance_; });
+}
+
+execution_decision executor_keys::enqueue(std::string_view key_text, const fingerprint& request,
+                                          call_done done, time_point now)
+{
+    using kind = execution_decision::kind;
+    const auto key = decode(key_text, secret_);
+    if (!key.ok()) {
+        return {kind::answered, {}, not_run(reason::malformed_key)};
+    }
+    if (!is_candidate(*key)) {
+        return {kind::answered, {}, not_run(reason::wrong_instance)};
+    }
+    const key_id id = id_of(*key);
+    const std::lock_guard lock{mutex_};
+    admission admitted = table_.admit(id, request, std::move(done), now);
+    switch (admitted.what) {
+    case admission::kind::admitted:
+        return {kind::run, id, {}};
+    case admission::kind::attached:
+        return {kind::attached, id, {}};
+    case admission::kind::answered:
+        break;
+    }
+    return {kind::answered, id, std::move(admitted.result)};
+}
+
+bool executor_keys::start(const key_id& id)
+{
+    const std::lock_guard lock{mutex_};
+    return table_.start(id);
+}
+
+void executor_keys::refuse(const key_id& id, reason why, time_point now)
+{
+    released_waiters released;
+    {
+        const std::lock_guard lock{mutex_};
+        table_.close(id, key_state::not_run, why, now, released);
+    }
+    released.run();
+}
+
+void executor_keys::finish(const key_id& id, call_result result, time_point now)
+{
+    released_waiters released;
+    {
+        const std::lock_guard lock{mutex_};
+        released = table_.finish(id, std::move(result), now);
+    }
+    released.run();
+}
+
+absl::StatusOr<settle_result> executor_keys::settle(std::string_view key_text, time_point now)
+{
+    const auto key = decode(key_text, secret_);
+    if (!key.ok()) {
+        return key.status();
+    }
+    if (!is_candidate(*key)) {
+        return settle_result{settle_state::wrong_instance, {}, reason::wrong_instance};
+    }
+    released_waiters released;
+    key_state state = key_state::absent;
+    call_result known;
+    {
+        const std::lock_guard lock{mutex_};
+        state = table_.close(id_of(*key), key_state::fenced, reason::key_fenced, now, released);
+        known = table_.result(id_of(*key));
+    }
+    released.run();
+    switch (state) {
+    case key_state::completed:
+        return settle_result{settle_state::completed, std::move(known.response), reason::none};
+    case key_state::queued:
+    case key_state::running:
+        return settle_result{settle_state::running, {}, reason::key_running};
+    case key_state::not_run:
+    case key_state::fenced:
+        return settle_result{settle_state::fenced, {}, known.why};
+    case key_state::unknown:
+    case key_state::expired:
+        return settle_result{settle_state::unknown, {}, known.why};
+    case key_state::absent:
+        break;
+    }
+    return absl::ResourceExhaustedError("no space to fence the key");
+}
+
+} // namespace chestnutstand
