--- a/include/chestnutstand/node/admin_api.h
+++ b/include/chestnutstand/node/admin_api.h
@@ -16,6 +16,7 @@
     void handle(const http_request& request, const std::shared_ptr<responder>& response);
 
 private:
+    void metrics(responder& response);
     void register_upstream(const http_request& request, const std::shared_ptr<responder>& response);
     void deregister_upstream(const std::shared_ptr<responder>& response);
     void status(const std::shared_ptr<responder>& response);
--- a/lib/node/admin_api.cpp
+++ b/lib/node/admin_api.cpp
@@ -111,8 +111,7 @@
         deregister_upstream(response);
     }
     else if (route == "GET /metrics") {
-        response->send(
-            {200, {{"Content-Type", "text/plain; version=0.0.4"}}, node_.stats().render()});
+        metrics(*response);
     }
     else if (route == "GET /health") {
         const bool ready = !node_.draining();
@@ -136,6 +135,23 @@
     }
 }
 
+void admin_api::metrics(responder& response)
+{
+    if (const auto* members = node_.find<membership>()) {
+        const gossip_traffic traffic = members->traffic();
+        node_.stats().counter("chestnutstand_gossip_packets_sent_total") = traffic.packets_sent;
+        node_.stats().counter("chestnutstand_gossip_packets_received_total") =
+            traffic.packets_received;
+        node_.stats().counter("chestnutstand_gossip_bytes_sent_total") = traffic.bytes_sent;
+        node_.stats().counter("chestnutstand_gossip_bytes_received_total") = traffic.bytes_received;
+        node_.stats().counter("chestnutstand_member_sync_bytes_sent_total") =
+            traffic.sync_bytes_sent;
+        node_.stats().counter("chestnutstand_member_sync_bytes_received_total") =
+            traffic.sync_bytes_received;
+    }
+    response.send({200, {{"Content-Type", "text/plain; version=0.0.4"}}, node_.stats().render()});
+}
+
 void admin_api::register_upstream(const http_request& request,
                                   const std::shared_ptr<responder>& response)
 {
