Add the key owner, settlement by other nodes and their properties

The owner delivers a call once to each candidate and moves on only after a refusal, a failed connection or a fence.

A failed forward is now unknown with owner_unreachable: not-run could not be told from the owner's own reply and is no proof, because an earlier copy of the call may have run. The history checker matches queries by key.

--- a/include/chestnutstand/keys/idempotency_key.h
+++ b/include/chestnutstand/keys/idempotency_key.h
@@ -6,7 +6,6 @@
 
 #include <absl/status/statusor.h>
 
-#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -37,9 +36,6 @@
 /// Key of a text, or an error when the text is not exactly what encode returns for the secret.
 absl::StatusOr<idempotency_key> decode(std::string_view text, std::string_view secret);
 
-/// SHA-256 digest of a request.
-using fingerprint = std::array<std::uint8_t, 32>;
-
 /// Digest of method, target and body. Headers are excluded, because each hop changes them.
 fingerprint request_fingerprint(const http_request& request);
 
--- a/include/chestnutstand/keys/key_table.h
+++ b/include/chestnutstand/keys/key_table.h
@@ -126,6 +126,9 @@
     /// Result of a key in its present state; unknown with key_running while it is in progress.
     call_result result(const key_id& id) const;
 
+    /// Request that a key was admitted with, if any.
+    std::optional<fingerprint> request(const key_id& id) const;
+
     /// Forgets final states that are older than the lifetime.
     void expire(time_point now);
 
--- a/include/chestnutstand/transport/call.h
+++ b/include/chestnutstand/transport/call.h
@@ -3,6 +3,7 @@
 #include "chestnutstand/support/clock.h"
 #include "chestnutstand/support/reason.h"
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -32,6 +33,9 @@
     std::string body;
 };
 
+/// SHA-256 digest of a request.
+using fingerprint = std::array<std::uint8_t, 32>;
+
 /// A call as it travels from ingress to the upstream.
 struct call {
     std::string service;
--- a/include/chestnutstand/transport/peer_client.h
+++ b/include/chestnutstand/transport/peer_client.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,8 @@
     http_response response;
     /// Why the key was closed or its result is not known.
     reason why = reason::none;
+    /// Request that the key belongs to, if it was ever admitted there.
+    std::optional<fingerprint> request;
 };
 
 /// Record of the configuration stream as nodes pass it on.
@@ -57,7 +60,9 @@
     /// refused after the first one has run, and the refusal would pass for a proof.
     virtual void execute(const node_reference& target, const call& what, call_done done) = 0;
 
-    /// Hands a keyed call to its owner.
+    /// Hands a keyed call to its owner. A failed connection or a lost reply ends in
+    /// outcome::unknown with reason::owner_unreachable: an earlier copy of the call may have run,
+    /// so a failed connection proves nothing.
     virtual void forward(const node_reference& owner, const call& what, bool query_only,
                          call_done done) = 0;
 
--- a/lib/keys/executor_keys.cpp
+++ b/lib/keys/executor_keys.cpp
@@ -69,29 +69,32 @@
         return key.status();
     }
     if (!is_candidate(*key)) {
-        return settle_result{settle_state::wrong_instance, {}, reason::wrong_instance};
+        return settle_result{settle_state::wrong_instance, {}, reason::wrong_instance, {}};
     }
     released_waiters released;
     key_state state = key_state::absent;
     call_result known;
+    std::optional<fingerprint> request;
     {
         const std::lock_guard lock{mutex_};
         state = table_.close(id_of(*key), key_state::fenced, reason::key_fenced, now, released);
         known = table_.result(id_of(*key));
+        request = table_.request(id_of(*key));
     }
     released.run();
     switch (state) {
     case key_state::completed:
-        return settle_result{settle_state::completed, std::move(known.response), reason::none};
+        return settle_result{settle_state::completed, std::move(known.response), reason::none,
+                             request};
     case key_state::queued:
     case key_state::running:
-        return settle_result{settle_state::running, {}, reason::key_running};
+        return settle_result{settle_state::running, {}, reason::key_running, request};
     case key_state::not_run:
     case key_state::fenced:
-        return settle_result{settle_state::fenced, {}, known.why};
+        return settle_result{settle_state::fenced, {}, known.why, request};
     case key_state::unknown:
     case key_state::expired:
-        return settle_result{settle_state::unknown, {}, known.why};
+        return settle_result{settle_state::unknown, {}, known.why, request};
     case key_state::absent:
         break;
     }
--- /dev/null
+++ b/lib/keys/key_owner.cpp
@@ -0,0 +1,280 @@
+#include "chestnutstand/keys/key_owner.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace chestnutstand {
+namespace {
+
+/// True when the executor itself reports that the call started and its result is lost for good.
+bool is_final_unknown(reason why)
+{
+    switch (why) {
+    case reason::upstream_timeout:
+    case reason::upstream_connection_lost:
+    case reason::upstream_answer_truncated:
+    case reason::upstream_answer_mismatched:
+    case reason::upstream_answer_unframed:
+    case reason::upstream_answer_too_large:
+        return true;
+    default:
+        return false;
+    }
+}
+
+} // namespace
+
+/// Progress of one admitted key; touched by one step at a time.
+struct key_owner::execution {
+    key_id id;
+    call what;
+    std::string base_request_id;
+    std::vector<node_reference> untried;
+    std::uint32_t attempts = 0;
+    reason last_refusal = reason::stale_key;
+    milliseconds settle_delay{0};
+};
+
+key_owner::key_owner(key_owner_options options, key_candidates candidates,
+                     candidate_selection selection, key_environment environment)
+    : options_{std::move(options)}, candidates_{candidates}, selection_{std::move(selection)},
+      environment_{std::move(environment)}, started_{environment_.now()}, table_{options_.limits}
+{
+}
+
+absl::StatusOr<std::vector<std::string>> key_owner::issue(const std::string& service,
+                                                          std::size_t count)
+{
+    std::vector<std::string> keys;
+    keys.reserve(count);
+    while (keys.size() < count) {
+        idempotency_key key{options_.self, selection_.choose(service), 0,
+                            environment_.now() - started_, service};
+        if (key.candidates.empty()) {
+            return absl::UnavailableError("no upstream of the service " + service);
+        }
+        key.candidates.resize(std::min(key.candidates.size(), max_key_candidates));
+        {
+            const std::lock_guard lock{mutex_};
+            key.sequence = next_sequence_++;
+        }
+        keys.push_back(encode(key, options_.secret));
+    }
+    return keys;
+}
+
+bool key_owner::is_too_old(const idempotency_key& key, time_point now) const
+{
+    return now - started_ >= key.issued + options_.limits.lifetime;
+}
+
+admission key_owner::admit(const idempotency_key& key, const call& what, call_done done,
+                           time_point now)
+{
+    const key_id id = id_of(key);
+    const std::lock_guard lock{mutex_};
+    if (table_.state(id) == key_state::absent && is_too_old(key, now)) {
+        // Closed explicitly: a thread that read the time earlier must not admit it afterwards.
+        released_waiters none;
+        table_.close(id, key_state::not_run, reason::key_expired, now, none);
+        return {admission::kind::answered, 0, table_.result(id)};
+    }
+    admission admitted = table_.admit(id, request_fingerprint(what.request), std::move(done), now);
+    if (admitted.what == admission::kind::admitted) {
+        table_.start(id);
+    }
+    return admitted;
+}
+
+void key_owner::run(const call& what, const call_done& done)
+{
+    const auto key = decode(what.idempotency_key, options_.secret);
+    if (!key.ok()) {
+        done(not_run(reason::malformed_key));
+        return;
+    }
+    if (key->owner.instance != options_.self.instance) {
+        done(unknown_outcome(reason::wrong_instance));
+        return;
+    }
+    if (key->service != what.service) {
+        done(not_run(reason::key_reused));
+        return;
+    }
+    const time_point now = environment_.now();
+    admission admitted = admit(*key, what, done, now);
+    if (admitted.what == admission::kind::answered) {
+        done(std::move(admitted.result));
+        return;
+    }
+    answer_at_deadline(id_of(*key), admitted.ticket, what.deadline - now);
+    if (admitted.what == admission::kind::admitted) {
+        const auto run = std::make_shared<execution>();
+        run->id = id_of(*key);
+        run->what = what;
+        run->base_request_id = what.request_id;
+        run->untried = key->candidates;
+        try_next(run);
+    }
+}
+
+void key_owner::query(std::string_view key_text, time_point deadline, const call_done& done)
+{
+    const auto key = decode(key_text, options_.secret);
+    if (!key.ok()) {
+        done(not_run(reason::malformed_key));
+        return;
+    }
+    if (key->owner.instance != options_.self.instance) {
+        done(unknown_outcome(reason::wrong_instance));
+        return;
+    }
+    const key_id id = id_of(*key);
+    const time_point now = environment_.now();
+    call_result result;
+    std::optional<std::uint64_t> ticket;
+    {
+        const std::lock_guard lock{mutex_};
+        released_waiters none;
+        const auto state = table_.close(id, key_state::not_run, reason::key_fenced, now, none);
+        result = state == key_state::absent ? unknown_outcome(reason::key_table_full)
+                                            : table_.result(id);
+        if (deadline > now) {
+            ticket = table_.attach(id, done);
+        }
+    }
+    if (ticket) {
+        answer_at_deadline(id, *ticket, deadline - now);
+        return;
+    }
+    done(std::move(result));
+}
+
+void key_owner::answer_at_deadline(const key_id& id, std::uint64_t ticket, milliseconds delay)
+{
+    environment_.after(std::max(delay, milliseconds{0}), [self = shared_from_this(), id, ticket] {
+        std::optional<call_done> done;
+        {
+            const std::lock_guard lock{self->mutex_};
+            done = self->table_.detach(id, ticket);
+        }
+        if (done) {
+            (*done)(unknown_outcome(reason::key_running));
+        }
+    });
+}
+
+void key_owner::try_next(const execution_ptr& run)
+{
+    if (environment_.now() >= run->what.deadline) {
+        finish(run, not_run(reason::deadline_exceeded));
+        return;
+    }
+    const auto ranked = selection_.rank(run->what, run->untried);
+    if (ranked.empty()) {
+        finish(run, not_run(run->last_refusal));
+        return;
+    }
+    const node_reference& target = ranked.front();
+    run->untried.erase(std::remove(run->untried.begin(), run->untried.end(), target),
+                       run->untried.end());
+    run->what.request_id = run->base_request_id + "." + std::to_string(++run->attempts);
+    candidates_.execute(target, run->what,
+                        [self = shared_from_this(), run, target](call_result result) {
+                            self->on_executed(run, target, std::move(result));
+                        });
+}
+
+void key_owner::on_executed(const execution_ptr& run, const node_reference& target,
+                            call_result result)
+{
+    if (result.outcome == outcome::not_run) {
+        run->last_refusal = result.why;
+        try_next(run);
+        return;
+    }
+    if (result.outcome == outcome::completed || is_final_unknown(result.why)) {
+        finish(run, std::move(result));
+        return;
+    }
+    run->settle_delay = options_.timing.first_delay;
+    settle(run, target);
+}
+
+void key_owner::settle(const execution_ptr& run, const node_reference& target)
+{
+    candidates_.settle(
+        target, run->what.idempotency_key, options_.timing.timeout,
+        [self = shared_from_this(), run, target](absl::StatusOr<settle_result> settled) {
+            self->on_settled(run, target, std::move(settled));
+        });
+}
+
+void key_owner::settle_later(const execution_ptr& run, const node_reference& target)
+{
+    {
+        const std::lock_guard lock{mutex_};
+        if (stopping_) {
+            return;
+        }
+    }
+    const milliseconds delay = run->settle_delay;
+    run->settle_delay = options_.timing.next(delay);
+    environment_.after(delay,
+                       [self = shared_from_this(), run, target] { self->settle(run, target); });
+}
+
+void key_owner::on_settled(const execution_ptr& run, const node_reference& target,
+                           absl::StatusOr<settle_result> settled)
+{
+    if (!settled.ok()) {
+        if (environment_.is_gone(target)) {
+            finish(run, unknown_outcome(reason::executor_gone));
+            return;
+        }
+        settle_later(run, target);
+        return;
+    }
+    switch (settled->state) {
+    case settle_state::completed:
+        finish(run, {outcome::completed, reason::none, std::move(settled->response), {}});
+        return;
+    case settle_state::running:
+        settle_later(run, target);
+        return;
+    case settle_state::fenced:
+        run->last_refusal = settled->why;
+        try_next(run);
+        return;
+    case settle_state::unknown:
+        finish(run, unknown_outcome(settled->why));
+        return;
+    case settle_state::wrong_instance:
+        finish(run, unknown_outcome(reason::executor_gone));
+        return;
+    }
+}
+
+void key_owner::finish(const execution_ptr& run, call_result result)
+{
+    released_waiters released;
+    {
+        const std::lock_guard lock{mutex_};
+        released = table_.finish(run->id, std::move(result), environment_.now());
+    }
+    released.run();
+}
+
+void key_owner::stop()
+{
+    const std::lock_guard lock{mutex_};
+    stopping_ = true;
+}
+
+std::size_t key_owner::bytes_used() const
+{
+    const std::lock_guard lock{mutex_};
+    return table_.bytes_used();
+}
+
+} // namespace chestnutstand
--- a/lib/keys/key_table.cpp
+++ b/lib/keys/key_table.cpp
@@ -193,6 +193,12 @@
                                    : result_of(found->second);
 }
 
+std::optional<fingerprint> key_table::request(const key_id& id) const
+{
+    const auto found = entries_.find(id);
+    return found == entries_.end() ? std::nullopt : found->second.request;
+}
+
 call_result key_table::result_of(const entry& known)
 {
     switch (known.state) {
--- a/tests/history/history.cpp
+++ b/tests/history/history.cpp
@@ -12,7 +12,7 @@
     call_record call;
     call.id = line.at("id").get<std::string>();
     call.key = line.value("key", "");
-    call.payload = line.at("payload").get<std::string>();
+    call.payload = line.value("payload", "");
     call.start = line.at("start").get<double>();
     call.end = line.at("end").get<double>();
     const auto result = outcome_names.find(line.at("outcome").get<std::string>());
--- a/tests/history/history.h
+++ b/tests/history/history.h
@@ -17,7 +17,8 @@
     std::string id;
     /// Empty for a call without a key.
     std::string key;
-    /// Unique per request; repeated calls with the same key and request share it.
+    /// Unique per request; repeated calls with the same key and request share it. Empty for a query
+    /// of a key.
     std::string payload;
     double start = 0;
     double end = 0;
--- a/tests/history/history_checker.cpp
+++ b/tests/history/history_checker.cpp
@@ -10,7 +10,7 @@
     {"at_most_once", "not_run", "own_response", "unexplained_loss", "version_decreased"}};
 
 /// Executions are matched by key and request: a refused reuse of a key is not-run although the
-/// request that the key belongs to may have run.
+/// request that the key belongs to may have run. A query has no request and matches by key.
 using identity = std::pair<std::string, std::string>;
 using executions_by_identity = std::map<identity, std::vector<const execution_record*>>;
 
@@ -140,6 +140,9 @@
     executions_by_identity executions;
     for (const auto& execution : seen.executions) {
         executions[{execution.key, execution.payload}].push_back(&execution);
+        if (!execution.key.empty() && !execution.payload.empty()) {
+            executions[{execution.key, ""}].push_back(&execution);
+        }
     }
     check_at_most_once(seen, result);
     for (const auto& call : seen.calls) {
--- a/tests/history/history_checker_test.cpp
+++ b/tests/history/history_checker_test.cpp
@@ -64,11 +64,13 @@
               std::vector<rule>{rule::at_most_once});
 }
 
-// Guards against a checker that looks only at runs before the reply.
+// Guards against a checker that looks only at runs before the reply, or not at queries.
 TEST(history_checker, finds_a_run_after_not_run)
 {
     EXPECT_EQ(broken_by(R"({"type":"execution","key":"k2","payload":"p2","start":99})"),
               std::vector<rule>{rule::not_run});
+    EXPECT_EQ(broken_by(call_line("k1", "", R"("outcome":"not-run")")),
+              std::vector<rule>{rule::not_run});
 }
 
 // Guards against a checker that accepts a foreign, cut or premature response.
