--- /dev/null
+++ b/lib/node/dispatcher.cpp
@@ -0,0 +1,347 @@
+#include "chestnutstand/node/dispatcher.h"
+
+#include <algorithm>
+#include <atomic>
+#include <mutex>
+#include <optional>
+#include <utility>
+
+namespace chestnutstand {
+namespace {
+
+/// Attempts of one dispatched call, the first included. Also bounds the attempts that reach no
+/// upstream and therefore do not draw on the budget of the call tree.
+constexpr std::size_t attempt_limit = 4;
+
+constexpr milliseconds probe_timeout{300};
+
+template <typename Named>
+const Named* find_named(const std::vector<Named>& entries, std::string_view name)
+{
+    const auto found = std::find_if(entries.begin(), entries.end(),
+                                    [name](const Named& entry) { return entry.name == name; });
+    return found == entries.end() ? nullptr : &*found;
+}
+
+/// Whether the attempt may have caused further calls by its upstream. Every refusal but the
+/// upstream's own comes before the upstream sees the call.
+bool reached_upstream(const call_result& result)
+{
+    return result.outcome != outcome::not_run || result.why == reason::upstream_refused;
+}
+
+/// Whether a complete response says that another attempt may do better.
+bool transient_failure(const http_response& response)
+{
+    return response.status == 502 || response.status == 503 || response.status == 504;
+}
+
+/// One dispatched call with its attempts.
+struct dispatched_call {
+    dispatched_call(const call& given, call_done callback, bool may_repeat)
+        : what{given}, done{std::move(callback)},
+          idempotent{may_repeat}, budget{std::min(given.retry_budget, default_tree_budget)}
+    {
+    }
+
+    const call what;
+    const call_done done;
+    const bool idempotent;
+
+    std::mutex mutex;
+    tree_budget budget;
+    std::vector<std::uint64_t> tried;
+    std::size_t running = 0;
+    bool finished = false;
+    /// The result that says most about whether the call ran.
+    std::optional<call_result> failure;
+};
+
+/// Whether the result ends the call, so that no attempt can do better.
+bool is_final(const dispatched_call& running, const call_result& result)
+{
+    return result.outcome == outcome::completed &&
+           !(running.idempotent && transient_failure(result.response));
+}
+
+/// Keeps the result to report when no further attempt does better. An attempt that may have run
+/// outweighs a later refusal: the call as a whole is not known to be not run.
+void keep_failure(dispatched_call& running, call_result result)
+{
+    const auto weight = [](outcome value) {
+        return value == outcome::completed ? 2 : value == outcome::unknown ? 1 : 0;
+    };
+    if (!running.failure || weight(result.outcome) >= weight(running.failure->outcome)) {
+        running.failure = std::move(result);
+    }
+}
+
+} // namespace
+
+class dispatcher::core : public std::enable_shared_from_this<core> {
+public:
+    core(peer_client& peers, local_executor* local, const snapshot<routing_table>& routes,
+         const snapshot<document>& configuration, metrics& counters,
+         const dispatcher_options& options)
+        : peers_{peers}, local_{local}, configuration_{configuration}, counters_{counters},
+          hedges_{counters.counter("chestnutstand_hedges_total")},
+          probes_{counters.counter("chestnutstand_peer_probes_total")}, options_{options},
+          selector_{routes, configuration, static_cast<const selector_options&>(options)}
+    {
+    }
+
+    void dispatch(const call& what, call_done done);
+    void execute_on(const node_reference& target, const call& what, call_done done)
+    {
+        send(selector_.find(what.service, target), what, what.retry_budget, std::move(done));
+    }
+    upstream_selector& selector() { return selector_; }
+
+private:
+    using call_state = std::shared_ptr<dispatched_call>;
+
+    bool start_attempt(const call_state& running);
+    void finish_attempt(const call_state& running, std::uint32_t carried, call_result result);
+    bool retry(const call_state& running, const call_result& result);
+    void schedule_hedge(const call_state& running);
+    void hedge(const call_state& running);
+    void send(const std::shared_ptr<peer>& target, const call& what, std::uint32_t carried,
+              call_done done);
+    void probe_stale_member(const std::string& service);
+
+    peer_client& peers_;
+    local_executor* local_;
+    const snapshot<document>& configuration_;
+    metrics& counters_;
+    std::atomic<std::uint64_t>& hedges_;
+    std::atomic<std::uint64_t>& probes_;
+    const dispatcher_options options_;
+    upstream_selector selector_;
+    std::atomic<std::uint64_t> next_request_{1};
+};
+
+void dispatcher::core::dispatch(const call& what, call_done done)
+{
+    const std::shared_ptr<const document> configuration = configuration_.load();
+    if (!configuration) {
+        done(not_run(reason::no_configuration));
+        return;
+    }
+    const service_config* service = find_named(configuration->services, what.service);
+    if (service == nullptr) {
+        done(not_run(reason::unknown_service));
+        return;
+    }
+    const priority_config* priority = find_named(service->priorities, what.priority);
+    const bool idempotent = priority != nullptr && priority->idempotent;
+    if (!idempotent && what.idempotency_key.empty()) {
+        done(not_run(reason::key_required));
+        return;
+    }
+    const auto running = std::make_shared<dispatched_call>(what, std::move(done), idempotent);
+    if (!start_attempt(running)) {
+        running->done(not_run(reason::no_route));
+        return;
+    }
+    schedule_hedge(running);
+    probe_stale_member(what.service);
+}
+
+/// Sends the call to a member that has not had it yet; false when there is none or the budget of
+/// the call tree is used up.
+bool dispatcher::core::start_attempt(const call_state& running)
+{
+    std::shared_ptr<peer> target;
+    std::uint32_t carried = 0;
+    {
+        const std::lock_guard lock{running->mutex};
+        if (running->finished || running->tried.size() >= attempt_limit) {
+            return false;
+        }
+        const std::optional<std::uint32_t> part = running->budget.start();
+        if (!part) {
+            return false;
+        }
+        carried = *part;
+        target = selector_.choose(running->what.service, running->what.priority, running->tried);
+        if (!target) {
+            running->budget.give_back(carried);
+            return false;
+        }
+        running->tried.push_back(target->node.instance);
+        ++running->running;
+    }
+    send(target, running->what, carried,
+         [self = shared_from_this(), running, carried](call_result result) {
+             self->finish_attempt(running, carried, std::move(result));
+         });
+    return true;
+}
+
+void dispatcher::core::finish_attempt(const call_state& running, std::uint32_t carried,
+                                      call_result result)
+{
+    const bool is_last_word = is_final(*running, result);
+    {
+        const std::lock_guard lock{running->mutex};
+        --running->running;
+        if (running->finished) {
+            return;
+        }
+        if (!reached_upstream(result)) {
+            running->budget.give_back(carried);
+        }
+        running->finished = is_last_word;
+        if (!is_last_word) {
+            keep_failure(*running, result);
+            if (running->running > 0) {
+                return;
+            }
+        }
+    }
+    if (is_last_word) {
+        running->done(std::move(result));
+        return;
+    }
+    if (retry(running, result)) {
+        return;
+    }
+    {
+        const std::lock_guard lock{running->mutex};
+        if (running->finished || running->running > 0) {
+            return;
+        }
+        running->finished = true;
+    }
+    running->done(std::move(*running->failure));
+}
+
+bool dispatcher::core::retry(const call_state& running, const call_result& result)
+{
+    if (result.outcome != outcome::not_run && !running->idempotent) {
+        return false;
+    }
+    if (result.why == reason::caller_gone || options_.now() >= running->what.deadline) {
+        return false;
+    }
+    if (!selector_.take_retry(running->what.service)) {
+        counters_.count(reason_event::refused, reason::retry_budget_exhausted);
+        return false;
+    }
+    if (!start_attempt(running)) {
+        selector_.give_back_retry(running->what.service);
+        return false;
+    }
+    counters_.count(reason_event::retried, result.why);
+    return true;
+}
+
+void dispatcher::core::schedule_hedge(const call_state& running)
+{
+    if (!options_.run_after || !running->idempotent) {
+        return;
+    }
+    const auto delay = selector_.hedge_delay(running->what.service, running->what.priority);
+    if (!delay || options_.now() + *delay >= running->what.deadline) {
+        return;
+    }
+    // The timer does not keep the body of a finished call in memory.
+    options_.run_after(
+        *delay, [self = shared_from_this(), waiting = std::weak_ptr<dispatched_call>{running}] {
+            if (const call_state still_running = waiting.lock()) {
+                self->hedge(still_running);
+            }
+        });
+}
+
+void dispatcher::core::hedge(const call_state& running)
+{
+    {
+        const std::lock_guard lock{running->mutex};
+        if (running->finished || running->running != 1 || running->budget.exhausted()) {
+            return;
+        }
+    }
+    if (!selector_.take_retry(running->what.service)) {
+        counters_.count(reason_event::refused, reason::retry_budget_exhausted);
+        return;
+    }
+    if (!start_attempt(running)) {
+        selector_.give_back_retry(running->what.service);
+        return;
+    }
+    hedges_.fetch_add(1);
+}
+
+void dispatcher::core::send(const std::shared_ptr<peer>& target, const call& what,
+                            std::uint32_t carried, call_done done)
+{
+    call attempt = what;
+    attempt.retry_budget = carried;
+    attempt.request_id =
+        std::to_string(options_.self_instance) + "-" + std::to_string(next_request_.fetch_add(1));
+    target->load.begin_call();
+    const time_point sent = options_.now();
+    call_done learn = [self = shared_from_this(), target, service = what.service,
+                       priority = what.priority, sent, done = std::move(done)](call_result result) {
+        self->selector_.record_result(*target, service, priority, result, sent);
+        done(std::move(result));
+    };
+    if (local_ != nullptr && target->node.instance == options_.self_instance) {
+        local_->execute(attempt, std::move(learn));
+        return;
+    }
+    peers_.execute(target->node, attempt, std::move(learn));
+}
+
+void dispatcher::core::probe_stale_member(const std::string& service)
+{
+    const std::shared_ptr<peer> target = selector_.take_probe_target(service);
+    if (!target) {
+        return;
+    }
+    probes_.fetch_add(1);
+    const time_point sent = options_.now();
+    peers_.probe(target->node, probe_timeout,
+                 [self = shared_from_this(), target, service,
+                  sent](const absl::StatusOr<load_report>& report) {
+                     self->selector_.record_probe(
+                         *target, service, report.ok() ? std::optional{*report} : std::nullopt,
+                         sent);
+                 });
+}
+
+dispatcher::dispatcher(peer_client& peers, local_executor* local,
+                       const snapshot<routing_table>& routes,
+                       const snapshot<document>& configuration, metrics& counters,
+                       const dispatcher_options& options)
+    : core_{std::make_shared<core>(peers, local, routes, configuration, counters, options)}
+{
+}
+
+dispatcher::~dispatcher() = default;
+
+void dispatcher::dispatch(const call& what, call_done done)
+{
+    core_->dispatch(what, std::move(done));
+}
+
+void dispatcher::execute_on(const node_reference& target, const call& what, call_done done)
+{
+    core_->execute_on(target, what, std::move(done));
+}
+
+std::vector<node_reference> dispatcher::rank(const std::string& service, std::string_view priority,
+                                             std::vector<node_reference> candidates)
+{
+    return core_->selector().rank(service, priority, std::move(candidates));
+}
+
+std::vector<node_reference> dispatcher::choose_distinct(const std::string& service,
+                                                        std::string_view priority,
+                                                        std::size_t count)
+{
+    return core_->selector().choose_distinct(service, priority, count);
+}
+
+} // namespace chestnutstand
