--- a/unittests/keys/key_simulation.cpp
+++ b/unittests/keys/key_simulation.cpp
@@ -38,7 +38,7 @@
 
     void execute(const call& what, call_done done) override
     {
-        all_.receive_call(self_.lock(), what, std::move(done));
+        all_.receive_call(self_.lock(), what, done);
     }
     void settle(const std::string& key, peer_client::settle_done done) override
     {
@@ -379,15 +379,16 @@
     });
 }
 
-void cluster::ask_owner(const process_ptr& ingress, const call& what, bool query, call_done done)
+void cluster::ask_owner(const process_ptr& ingress, const call& what, bool query,
+                        const call_done& done)
 {
     const auto owner = decode(what.idempotency_key, secret)->owner;
     if (owner == ingress->node) {
         if (query) {
-            ingress->owner->query(what.idempotency_key, what.deadline, std::move(done));
+            ingress->owner->query(what.idempotency_key, what.deadline, done);
             return;
         }
-        ingress->owner->run(what, std::move(done));
+        ingress->owner->run(what, done);
         return;
     }
     ingress->peers->forward(
--- a/unittests/keys/key_simulation.h
+++ b/unittests/keys/key_simulation.h
@@ -72,7 +72,7 @@
 
     void issue_key();
     void invoke(const process_ptr& ingress, std::size_t key_index, bool query);
-    void ask_owner(const process_ptr& ingress, const call& what, bool query, call_done done);
+    void ask_owner(const process_ptr& ingress, const call& what, bool query, const call_done& done);
     void crash(std::size_t index);
     void step();
     void drain();
