--- a/include/chestnutstand/transport/call.h
+++ b/include/chestnutstand/transport/call.h
@@ -4,6 +4,7 @@
 #include "chestnutstand/support/reason.h"
 #include "chestnutstand/transport/cancellation.h"
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -36,6 +37,9 @@
     std::string body;
 };
 
+/// SHA-256 digest of a request.
+using fingerprint = std::array<std::uint8_t, 32>;
+
 /// A call as it travels from ingress to the upstream.
 struct call {
     std::string service;
