--- a/lib/admission/admission_queue.cpp
+++ b/lib/admission/admission_queue.cpp
@@ -17,8 +17,8 @@
 constexpr double earned_dispatch = 1.0 - 1e-9;
 // A class without requests for this long is not expected back within the next moments.
 constexpr milliseconds headroom_memory{10'000};
-// Waiting a twentieth of the target for a free slot is not worth an idle slot.
-constexpr double negligible_wait_of_target = 0.05;
+// Waiting a tenth of the target for a free slot is not worth an idle slot.
+constexpr double negligible_wait_of_target = 0.1;
 
 double sum_of_weights(const service_config& service)
 {
@@ -197,18 +197,20 @@
     double expected = 0.0;
     std::uint32_t running = 0;
     bool wanted = false;
+    // Only classes count for which the wait for a slot of this class would matter.
     for (const auto urgent : by_urgency_) {
         if (urgent == priority) {
             break;
         }
         const auto& other = classes_[urgent];
-        running += other.running;
-        if (!other.last_offer || now - *other.last_offer > headroom_memory) {
-            continue;
-        }
         const double negligible_ms =
             other.config().latency_target.count() * negligible_wait_of_target;
-        wanted = wanted || release_interval_ms > negligible_ms;
+        if (!other.last_offer || now - *other.last_offer > headroom_memory ||
+            release_interval_ms <= negligible_ms) {
+            continue;
+        }
+        wanted = true;
+        running += other.running;
         expected += other.arrivals().per_ms(now) * other.service_time().optimistic(now);
     }
     if (!wanted) {
@@ -267,32 +269,36 @@
 {
     auto& queue = classes_[priority];
     const auto own = queue.ahead_of_new(now);
-    std::size_t more_urgent = 0;
-    double taken_per_ms = 0.0;
-    double other_guarantees = 0.0;
+    const double total_per_ms = dispatches_per_ms(priority, now);
+    const auto service_ms = [now](const class_queue& of) {
+        return of.service_time().blended(of.config().latency_target.count(), now);
+    };
+    const std::uint32_t idle_slots = headroom(priority, now);
+    double work_ahead_ms = static_cast<double>(own + 1) * service_ms(queue);
+    double slots_left = static_cast<double>(limit_.value()) - idle_slots;
     bool is_more_urgent = true;
-    for (const auto other : by_urgency_) {
-        if (other == priority) {
+    bool first_in_line = own == 0;
+    for (const auto index : by_urgency_) {
+        const auto& other = classes_[index];
+        if (index == priority) {
             is_more_urgent = false;
         }
         else if (is_more_urgent) {
-            more_urgent += classes_[other].size();
-            taken_per_ms += classes_[other].dispatches().per_ms(now);
+            // More urgent requests that arrive meanwhile go first, as many as recently.
+            first_in_line = first_in_line && other.empty();
+            work_ahead_ms += static_cast<double>(other.size()) * service_ms(other);
+            slots_left -= other.dispatches().per_ms(now) * service_ms(other);
         }
-        else if (!classes_[other].empty()) {
-            other_guarantees += classes_[other].guaranteed_share();
+        else if (!other.empty()) {
+            slots_left -= other.guaranteed_share() * total_per_ms * service_ms(other);
         }
     }
-    if (own == 0 && more_urgent == 0 && has_room(priority, now)) {
+    if (first_in_line && in_flight() + idle_slots < limit_.value()) {
         return milliseconds{0};
     }
-    const double total_per_ms = dispatches_per_ms(priority, now);
-    // More urgent requests that arrive meanwhile go first, as many as recently, but whatever they
-    // take, the guaranteed share of the class remains.
-    const double left_per_ms = total_per_ms * (1.0 - other_guarantees) - taken_per_ms;
-    const double shared_ms = left_per_ms > 0.0
-                                 ? static_cast<double>(own + more_urgent + 1) / left_per_ms
-                                 : std::numeric_limits<double>::infinity();
+    // Whatever the other classes take, the guaranteed share of the class remains.
+    const double shared_ms =
+        slots_left > 0.0 ? work_ahead_ms / slots_left : std::numeric_limits<double>::infinity();
     const double unearned = std::max(0.0, static_cast<double>(own + 1) - queue.credit);
     const double guaranteed_per_ms = total_per_ms * queue.guaranteed_share();
     const double guaranteed_ms = guaranteed_per_ms > 0.0
