--- a/include/chestnutstand/routing/peer_load.h
+++ b/include/chestnutstand/routing/peer_load.h
@@ -37,9 +37,10 @@
     /// Counts a call as sent.
     void begin_call();
 
-    /// Ends a call that was counted by begin_call. The latency is given only for calls that the
-    /// upstream answered well: a fast failure must not make the peer look fast.
-    void end_call(std::optional<milliseconds> latency, time_point now);
+    /// Ends a call that was counted by begin_call. Without a good answer from the upstream the
+    /// elapsed time is only a lower bound of the latency: a timeout shows that the peer is slow, a
+    /// fast failure must not make it look fast.
+    void end_call(milliseconds elapsed, bool answered, time_point now);
 
     /// Stores the report of a reply or a probe.
     void record_report(const load_report& report, const priority_order& order, time_point now);
--- a/include/chestnutstand/routing/retry_budget.h
+++ b/include/chestnutstand/routing/retry_budget.h
@@ -46,8 +46,8 @@
     time_point refilled_;
 };
 
-/// Retry budget of a call that arrives without one, and the highest that is accepted.
-inline constexpr std::uint32_t default_tree_budget = 8;
+/// Highest retry budget of a call tree; a higher one that a caller sends counts as this.
+inline constexpr std::uint32_t largest_tree_budget = 8;
 
 /// The part of a call tree's retry budget that one dispatched call holds.
 ///
--- a/lib/node/dispatcher.cpp
+++ b/lib/node/dispatcher.cpp
@@ -40,7 +40,7 @@
 struct dispatched_call {
     dispatched_call(const call& given, call_done callback, bool may_repeat)
         : what{given}, done{std::move(callback)},
-          idempotent{may_repeat}, budget{std::min(given.retry_budget, default_tree_budget)}
+          idempotent{may_repeat}, budget{std::min(given.retry_budget, largest_tree_budget)}
     {
     }
 
@@ -51,6 +51,8 @@
     std::mutex mutex;
     tree_budget budget;
     std::vector<std::uint64_t> tried;
+    /// One for each attempt, so that the attempts that lose against a hedge can be ended.
+    std::vector<std::shared_ptr<cancellation>> cancels;
     std::size_t running = 0;
     bool finished = false;
     /// The result that says most about whether the call ran.
@@ -76,6 +78,22 @@
     }
 }
 
+/// Ends attempts that lost against a hedge; their upstreams need not finish them.
+void end_other_attempts(dispatched_call& running)
+{
+    std::vector<std::shared_ptr<cancellation>> cancels;
+    {
+        const std::lock_guard lock{running.mutex};
+        if (running.running == 0) {
+            return;
+        }
+        cancels.swap(running.cancels);
+    }
+    for (const std::shared_ptr<cancellation>& attempt : cancels) {
+        attempt->cancel();
+    }
+}
+
 } // namespace
 
 class dispatcher::core : public std::enable_shared_from_this<core> {
@@ -93,20 +111,22 @@
     void dispatch(const call& what, call_done done);
     void execute_on(const node_reference& target, const call& what, call_done done)
     {
-        send(selector_.find(what.service, target), what, what.retry_budget, std::move(done));
+        send(selector_.find(what.service, target), what, what.retry_budget, what.cancel,
+             std::move(done));
     }
     upstream_selector& selector() { return selector_; }
 
 private:
     using call_state = std::shared_ptr<dispatched_call>;
 
+    void refuse(reason why, const call_done& done);
     bool start_attempt(const call_state& running);
     void finish_attempt(const call_state& running, std::uint32_t carried, call_result result);
     bool retry(const call_state& running, const call_result& result);
     void schedule_hedge(const call_state& running);
     void hedge(const call_state& running);
     void send(const std::shared_ptr<peer>& target, const call& what, std::uint32_t carried,
-              call_done done);
+              const std::shared_ptr<cancellation>& cancel, call_done done);
     void probe_stale_member(const std::string& service);
 
     peer_client& peers_;
@@ -120,27 +140,34 @@
     std::atomic<std::uint64_t> next_request_{1};
 };
 
+void dispatcher::core::refuse(reason why, const call_done& done)
+{
+    counters_.count(reason_event::refused, why);
+    done(not_run(why));
+}
+
 void dispatcher::core::dispatch(const call& what, call_done done)
 {
     const std::shared_ptr<const document> configuration = configuration_.load();
     if (!configuration) {
-        done(not_run(reason::no_configuration));
+        refuse(reason::no_configuration, done);
         return;
     }
     const service_config* service = find_named(configuration->services, what.service);
     if (service == nullptr) {
-        done(not_run(reason::unknown_service));
+        refuse(reason::unknown_service, done);
         return;
     }
     const priority_config* priority = find_named(service->priorities, what.priority);
-    const bool idempotent = priority != nullptr && priority->idempotent;
-    if (!idempotent && what.idempotency_key.empty()) {
-        done(not_run(reason::key_required));
+    const bool keyed = !what.idempotency_key.empty();
+    const bool idempotent = !keyed && priority != nullptr && priority->idempotent;
+    if (!keyed && !idempotent) {
+        refuse(reason::key_required, done);
         return;
     }
     const auto running = std::make_shared<dispatched_call>(what, std::move(done), idempotent);
     if (!start_attempt(running)) {
-        running->done(not_run(reason::no_route));
+        refuse(reason::no_route, running->done);
         return;
     }
     schedule_hedge(running);
@@ -153,6 +180,7 @@
 {
     std::shared_ptr<peer> target;
     std::uint32_t carried = 0;
+    const auto cancel = std::make_shared<cancellation>();
     {
         const std::lock_guard lock{running->mutex};
         if (running->finished || running->tried.size() >= attempt_limit) {
@@ -169,9 +197,13 @@
             return false;
         }
         running->tried.push_back(target->node.instance);
+        running->cancels.push_back(cancel);
         ++running->running;
     }
-    send(target, running->what, carried,
+    if (running->what.cancel) {
+        running->what.cancel->on_cancel([cancel] { cancel->cancel(); });
+    }
+    send(target, running->what, carried, cancel,
          [self = shared_from_this(), running, carried](call_result result) {
              self->finish_attempt(running, carried, std::move(result));
          });
@@ -201,6 +233,7 @@
     }
     if (is_last_word) {
         running->done(std::move(result));
+        end_other_attempts(*running);
         return;
     }
     if (retry(running, result)) {
@@ -274,16 +307,23 @@
 }
 
 void dispatcher::core::send(const std::shared_ptr<peer>& target, const call& what,
-                            std::uint32_t carried, call_done done)
+                            std::uint32_t carried, const std::shared_ptr<cancellation>& cancel,
+                            call_done done)
 {
     call attempt = what;
     attempt.retry_budget = carried;
+    attempt.cancel = cancel;
     attempt.request_id =
         std::to_string(options_.self_instance) + "-" + std::to_string(next_request_.fetch_add(1));
     target->load.begin_call();
     const time_point sent = options_.now();
     call_done learn = [self = shared_from_this(), target, service = what.service,
-                       priority = what.priority, sent, done = std::move(done)](call_result result) {
+                       priority = what.priority, cancel, sent,
+                       done = std::move(done)](call_result result) {
+        if (result.outcome == outcome::unknown && cancel && cancel->cancelled()) {
+            // An attempt that was ended from here says nothing about the member.
+            result.why = reason::caller_gone;
+        }
         self->selector_.record_result(*target, service, priority, result, sent);
         done(std::move(result));
     };
--- a/lib/routing/peer_load.cpp
+++ b/lib/routing/peer_load.cpp
@@ -33,16 +33,16 @@
     ++sent_since_report_;
 }
 
-void peer_load::end_call(std::optional<milliseconds> latency, time_point now)
+void peer_load::end_call(milliseconds elapsed, bool answered, time_point now)
 {
     const std::lock_guard lock{mutex_};
     if (own_in_flight_ > 0) {
         --own_in_flight_;
     }
-    if (!latency) {
+    const double sample = elapsed.count();
+    if (!answered && sample <= latency_ms_) {
         return;
     }
-    const double sample = latency->count();
     const double previous = latency_ms_ > 0.0F ? decayed_latency(now).count() : sample;
     latency_ms_ = static_cast<float>(previous + newest_weight * (sample - previous));
     replied_at_ = now;
--- a/lib/routing/upstream_selector.cpp
+++ b/lib/routing/upstream_selector.cpp
@@ -221,7 +221,7 @@
 {
     const time_point now = options_.now();
     const bool good = succeeded(result);
-    target.load.end_call(good ? std::optional{now - sent} : std::nullopt, now);
+    target.load.end_call(now - sent, good, now);
     if (result.outcome != outcome::completed && takes_no_work(result.why)) {
         target.load.avoid_until(now + avoidance);
     }
--- a/unittests/node/dispatcher_test.cpp
+++ b/unittests/node/dispatcher_test.cpp
@@ -221,11 +221,12 @@
     EXPECT_LT(calls[1], 10);
 }
 
-// Guards against hedges of calls that must not run twice, a second response to the caller and
-// hedges without a slow call.
+// Guards against hedges of calls that must not run twice, a second response to the caller, and
+// attempts that run on after they have lost against a hedge.
 TEST_F(dispatcher_test, hedges_only_slow_idempotent_calls)
 {
     std::vector<call_done> pending;
+    std::vector<std::shared_ptr<cancellation>> cancels;
     answer_with([this](int) {
         now_ += milliseconds{2};
         return answer(200);
@@ -237,7 +238,8 @@
     const std::size_t answered = attempts_.size();
     timers_.clear();
     ON_CALL(peers_, execute(_, _, _))
-        .WillByDefault([&](const node_reference&, const call&, const call_done& done) {
+        .WillByDefault([&](const node_reference&, const call& what, const call_done& done) {
+            cancels.push_back(what.cancel);
             pending.push_back(done);
         });
     int responses = 0;
@@ -257,6 +259,7 @@
     timers_[0]();
     ASSERT_EQ(pending.size(), 3U);
     pending[2](answer(201));
+    EXPECT_TRUE(cancels[0]->cancelled());
     pending[0](answer(202));
     EXPECT_EQ(responses, 1);
     EXPECT_EQ(answered, 200U);
--- a/unittests/routing/peer_load_test.cpp
+++ b/unittests/routing/peer_load_test.cpp
@@ -36,15 +36,18 @@
     EXPECT_EQ(load.read(order.rank("bulk"), start).queued_ahead, 32U);
 }
 
-// Guards against fast failures that make a peer look fast.
-TEST(peer_load, failed_calls_do_not_change_latency)
+// Guards against fast failures that make a peer look fast, and against timeouts that go unnoticed.
+TEST(peer_load, failed_calls_only_raise_latency)
 {
     peer_load load;
     load.begin_call();
-    load.end_call(milliseconds{20}, start);
+    load.end_call(milliseconds{20}, true, start);
     load.begin_call();
-    load.end_call(std::nullopt, start);
+    load.end_call(milliseconds{0.01}, false, start);
     EXPECT_DOUBLE_EQ(load.read(0, start).latency.count(), 20.0);
+    load.begin_call();
+    load.end_call(milliseconds{1000}, false, start);
+    EXPECT_GT(load.read(0, start).latency.count(), 200.0);
 }
 
 // Guards against a peer that was slow once and is left out for ever, and against one that has
@@ -53,7 +56,7 @@
 {
     peer_load load;
     load.begin_call();
-    load.end_call(milliseconds{800}, start);
+    load.end_call(milliseconds{800}, true, start);
     EXPECT_LE(load.read(0, start + milliseconds{10'000}).latency.count(), 100.0);
     load.begin_call();
     EXPECT_DOUBLE_EQ(load.read(0, start + milliseconds{10'000}).latency.count(), 800.0);
@@ -69,7 +72,7 @@
         threads.emplace_back([&load] {
             for (int calls = 0; calls < 10'000; ++calls) {
                 load.begin_call();
-                load.end_call(milliseconds{1}, start);
+                load.end_call(milliseconds{1}, true, start);
             }
         });
     }
