--- a/unittests/config/config_service_test.cpp
+++ b/unittests/config/config_service_test.cpp
@@ -66,5 +66,142 @@
     EXPECT_EQ(log_.append_count(), 1U);
 }
 
+// Guards against a second record when the author repeats a change whose verdict was lost.
+TEST_F(config_service_test, repeated_change_id_gets_the_first_verdict)
+{
+    const auto publisher = make_node(1);
+    const auto other = make_node(2);
+    EXPECT_TRUE(must_answer(publisher->publish(change("c1", "a", 0))).accepted);
+    const auto again = must_answer(other->publish(change("c1", "a", 0)));
+    EXPECT_TRUE(again.accepted) << again.explanation;
+    EXPECT_EQ(again.version, 1U);
+    EXPECT_EQ(log_.append_count(), 1U);
+}
+
+// Guards against a blind second append, and against a wait without end, when an append got lost.
+TEST_F(config_service_test, lost_append_request_ends_without_a_verdict)
+{
+    options_.publish_wait = milliseconds{100};
+    const auto publisher = make_node(1);
+    log_.set_next_append(fake_log::append_fault::request_lost);
+    const auto result = publisher->publish(change("c1", "a", 0)).get();
+    EXPECT_EQ(result.status().code(), absl::StatusCode::kDeadlineExceeded);
+    EXPECT_EQ(log_.append_count(), 1U);
+    EXPECT_TRUE(must_answer(publisher->publish(change("c1", "a", 0))).accepted);
+}
+
+// Guards against a change that is reported as published, or lost in a queue, while the log is down.
+TEST_F(config_service_test, log_outage_refuses_changes_and_keeps_the_document)
+{
+    const auto publisher = make_node(1);
+    EXPECT_TRUE(must_answer(publisher->publish(change("c1", "a", 0))).accepted);
+    log_.set_down(true);
+    const auto result = publisher->publish(change("c2", "a", 1)).get();
+    EXPECT_EQ(result.status().code(), absl::StatusCode::kUnavailable);
+    EXPECT_EQ(result.status().message(),
+              "the change was not published: no connection to the log service");
+    EXPECT_EQ(publisher->document_version(), 1U);
+    log_.set_down(false);
+    EXPECT_TRUE(must_answer(publisher->publish(change("c2", "a", 1))).accepted);
+}
+
+// Guards against appends for changes that cannot be accepted.
+TEST_F(config_service_test, certain_refusals_are_not_appended)
+{
+    const auto publisher = make_node(1);
+    EXPECT_TRUE(must_answer(publisher->publish(change("c1", "a", 0))).accepted);
+    EXPECT_EQ(must_answer(publisher->publish(change("c2", "a", 1, "other"))).explanation,
+              "section a is owned by team team, the change is from team other");
+    EXPECT_FALSE(must_answer(publisher->publish(change("c3", "a", 0))).accepted);
+    EXPECT_EQ(log_.append_count(), 1U);
+}
+
+// Guards against two winners, or none, among racing changes of one section.
+TEST_F(config_service_test, one_of_racing_changes_is_accepted)
+{
+    const auto first = make_node(1);
+    const auto second = make_node(2);
+    std::uint64_t base = 0;
+    for (int round = 0; round < 20; ++round) {
+        const auto id = std::to_string(round);
+        auto one = first->publish(change("one" + id, "a", base));
+        auto two = second->publish(change("two" + id, "a", base));
+        const auto one_verdict = must_answer(std::move(one));
+        const auto two_verdict = must_answer(std::move(two));
+        EXPECT_NE(one_verdict.accepted, two_verdict.accepted);
+        base = one_verdict.accepted ? one_verdict.version : two_verdict.version;
+    }
+}
+
+// Guards against a new node that stays without a document while the log is down.
+TEST_F(config_service_test, new_node_starts_from_a_peer_while_the_log_is_down)
+{
+    const auto publisher = make_node(1);
+    EXPECT_TRUE(must_answer(publisher->publish(change("c1", "a", 0))).accepted);
+    EXPECT_TRUE(must_answer(publisher->publish(change("c2", "b", 0))).accepted);
+    log_.set_down(true);
+    const auto starting = make_node(2);
+    starting->hint(*publisher, 2);
+    EXPECT_TRUE(eventually([&] { return starting->document_version() == 2; }));
+}
+
+// Guards against checkpoints that are missing, or written by all nodes, and against nodes that
+// cannot start or go on once the records before a checkpoint have expired.
+TEST_F(config_service_test, one_checkpoint_lets_nodes_start_after_expiry)
+{
+    options_.checkpoint_records = 5;
+    const auto one = make_node(1);
+    const auto two = make_node(2);
+    const auto three = make_node(3);
+    const auto behind = make_node(4);
+    EXPECT_TRUE(must_answer(one->publish(change("c0", "a", 0))).accepted);
+    behind->hint(*one, 1);
+    EXPECT_TRUE(eventually([&] { return behind->document_version() == 1; }));
+    for (const auto* each : {&one, &two, &three}) {
+        (*each)->tail();
+    }
+    for (std::uint64_t i = 1; i < 5; ++i) {
+        EXPECT_TRUE(must_answer(one->publish(change("c" + std::to_string(i), "a", i))).accepted);
+    }
+    EXPECT_TRUE(eventually([&] { return log_.records().size() > 5; }));
+    // Longer than the longest wait before a checkpoint.
+    std::this_thread::sleep_for(std::chrono::milliseconds{400});
+    EXPECT_EQ(log_.records().size(), 6U);
+
+    log_.expire_before(5);
+    behind->tail();
+    const auto starting = make_node(5);
+    starting->tail();
+    EXPECT_TRUE(eventually([&] { return starting->next_offset() == 6; }));
+    EXPECT_EQ(starting->document_version(), 5U);
+    EXPECT_TRUE(eventually([&] { return behind->next_offset() == 6; }));
+    EXPECT_EQ(behind->document_version(), 5U);
+}
+
+// Guards against a document that is lost because its only records expire unnoticed.
+TEST_F(config_service_test, checkpoint_is_written_when_records_get_old)
+{
+    options_.log_retention = milliseconds{1'000};
+    const auto node = make_node(1);
+    node->tail();
+    EXPECT_TRUE(must_answer(node->publish(change("c1", "a", 0))).accepted);
+    log_.set_age(milliseconds{600});
+    EXPECT_TRUE(eventually([&] { return log_.records().size() > 1; }));
+}
+
+// Guards against a node that serves something although the needed records have expired.
+TEST_F(config_service_test, no_document_without_a_usable_checkpoint)
+{
+    const auto publisher = make_node(1);
+    EXPECT_TRUE(must_answer(publisher->publish(change("c1", "a", 0))).accepted);
+    EXPECT_TRUE(must_answer(publisher->publish(change("c2", "a", 1))).accepted);
+    log_.expire_before(1);
+    const auto starting = make_node(2);
+    starting->tail();
+    const auto refused = starting->publish(change("c3", "b", 0)).get();
+    EXPECT_EQ(refused.status().code(), absl::StatusCode::kUnavailable);
+    EXPECT_EQ(starting->document_version(), 0U);
+}
+
 } // namespace
 } // namespace chestnutstand
--- a/unittests/config/fakes.h
+++ b/unittests/config/fakes.h
@@ -5,6 +5,9 @@
 #include "chestnutstand/support/control_loop.h"
 #include "chestnutstand/transport/peer_client.h"
 
+#include <gtest/gtest.h>
+
+#include <algorithm>
 #include <chrono>
 #include <future>
 #include <map>
@@ -92,7 +95,7 @@
 /// Hands fetches to the services of other fake nodes.
 class fake_peers : public peer_client {
 public:
-    using fetch_handler = std::function<fetched_changes(std::uint64_t)>;
+    using fetch_handler = std::function<void(std::uint64_t, changes_done)>;
 
     void execute(const node_reference&, const call&, call_done) override {}
     void forward(const node_reference&, const call&, bool, call_done) override {}
@@ -114,7 +117,7 @@
             done(absl::UnavailableError("no such peer"));
             return;
         }
-        done(handler(from_offset));
+        handler(from_offset, std::move(done));
     }
 
     void add(std::uint64_t instance, fetch_handler handler)
@@ -148,8 +151,9 @@
         : reference_{options.instance, "127.0.0.1", 1}, service_{std::make_unique<config_service>(
                                                             options, loop_, log, peers)}
     {
-        peers.add(options.instance, [this](std::uint64_t from) {
-            return on_loop([&] { return service_->handle_fetch(from); });
+        // Without waiting, because two nodes may fetch from each other.
+        peers.add(options.instance, [this](std::uint64_t from, peer_client::changes_done done) {
+            loop_.post([this, from, done] { done(service_->handle_fetch(from)); });
         });
         on_loop([&] {
             service_->on_advance(
@@ -158,7 +162,13 @@
             return true;
         });
     }
-    ~fake_node() { loop_.stop(); }
+    fake_node(const fake_node&) = delete;
+    fake_node& operator=(const fake_node&) = delete;
+    ~fake_node()
+    {
+        loop_.stop();
+        EXPECT_TRUE(std::is_sorted(versions_.begin(), versions_.end())) << "a version fell";
+    }
 
     template <typename Work>
     auto on_loop(Work work) -> decltype(work())
@@ -203,10 +213,6 @@
         const auto document = service_->current().load();
         return document ? document->version : 0;
     }
-    std::vector<std::uint64_t> versions()
-    {
-        return on_loop([&] { return versions_; });
-    }
 
 private:
     node_reference reference_;
