Frame HTTP requests of callers and write responses on the owning thread

Pistache 0.0.5 loses a pipelined request, reorders the query, collapses repeated header lines, accepts ambiguous lengths and announces closes that do not happen. The bytes of a connection are now cut into requests before Pistache's parser checks the request line; malformed input gets a 4xx and the end of the connection.

Responses are now handed to the thread that owns the connection, which writes them at once.

--- a/include/chestnutstand/transport/http_server.h
+++ b/include/chestnutstand/transport/http_server.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace chestnutstand {
 
@@ -35,9 +36,15 @@
     std::size_t max_header_bytes = std::size_t{16} << 10U;
     /// A client that has not sent its whole request by then is refused.
     milliseconds request_timeout{10'000};
+    /// A connection without a request is closed after this time.
+    milliseconds idle_timeout{300'000};
+    /// Makes the response to a request that the server refuses itself; by default plain text.
+    std::function<http_response(int status, reason why, std::string_view detail)> refuse;
 };
 
-/// HTTP/1.1 server. Responses on one connection are sent in the order of its requests.
+/// HTTP/1.1 server. The requests of one connection are handled one after the other; a malformed
+/// one is refused and ends the connection. A response is written only by the thread that owns the
+/// connection, so that it cannot reach a later connection with the same descriptor.
 class http_server {
 public:
     using handler = std::function<void(http_request, std::shared_ptr<responder>)>;
--- /dev/null
+++ b/lib/transport/http_connection.cpp
@@ -0,0 +1,99 @@
+#include "http_connection.h"
+
+#include "chestnutstand/transport/headers.h"
+
+#include <absl/strings/str_cat.h>
+#include <pistache/http_defs.h>
+
+#include <cstdint>
+#include <sys/eventfd.h>
+#include <unistd.h>
+#include <utility>
+
+namespace chestnutstand {
+namespace {
+
+constexpr int status_no_content = 204;
+constexpr int status_not_modified = 304;
+
+} // namespace
+
+response_queue::response_queue() : wake_{::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)} {}
+
+response_queue::~response_queue()
+{
+    ::close(wake_);
+}
+
+void response_queue::push(entry added)
+{
+    bool first = false;
+    {
+        const std::lock_guard lock{mutex_};
+        first = entries_.empty();
+        entries_.push_back(std::move(added));
+    }
+    if (first) {
+        wake();
+    }
+}
+
+std::vector<response_queue::entry> response_queue::take()
+{
+    std::uint64_t ignored = 0;
+    [[maybe_unused]] const auto bytes = ::read(wake_, &ignored, sizeof ignored);
+    std::vector<entry> taken;
+    const std::lock_guard lock{mutex_};
+    taken.swap(entries_);
+    return taken;
+}
+
+void response_queue::request_stop()
+{
+    stopping_ = true;
+    wake();
+}
+
+void response_queue::wake() const
+{
+    const std::uint64_t one = 1;
+    [[maybe_unused]] const auto bytes = ::write(wake_, &one, sizeof one);
+}
+
+bool asks_to_close(const http_response& response)
+{
+    const auto connection = find_header(response.headers, "connection");
+    return connection && header_name_equal(*connection, "close");
+}
+
+std::string serialize(const http_response& response, bool head_only, bool close)
+{
+    std::string out = absl::StrCat(
+        "HTTP/1.1 ", response.status, " ",
+        Pistache::Http::codeString(static_cast<Pistache::Http::Code>(response.status)), "\r\n");
+    bool has_length = false;
+    for (const auto& field : response.headers) {
+        if (header_name_equal(field.name, "connection")) {
+            continue;
+        }
+        const bool length = header_name_equal(field.name, "content-length");
+        if (length && !head_only) {
+            continue;
+        }
+        has_length = has_length || length;
+        absl::StrAppend(&out, field.name, ": ", field.value, "\r\n");
+    }
+    absl::StrAppend(&out, "Connection: ", close ? "close" : "keep-alive", "\r\n");
+    const bool bodyless =
+        response.status == status_no_content || response.status == status_not_modified;
+    if (!bodyless && !has_length) {
+        absl::StrAppend(&out, "Content-Length: ", response.body.size(), "\r\n");
+    }
+    out += "\r\n";
+    if (!head_only && !bodyless) {
+        out += response.body;
+    }
+    return out;
+}
+
+} // namespace chestnutstand
--- a/lib/transport/pistache_server.cpp
+++ b/lib/transport/pistache_server.cpp
@@ -1,246 +1,444 @@
-#include "chestnutstand/transport/headers.h"
-#include "chestnutstand/transport/http_server.h"
+#include "http_connection.h"
+#include "request_framer.h"
 
 #include "chestnutstand/support/log.h"
+#include "chestnutstand/transport/http_server.h"
 
-#include <pistache/endpoint.h>
 #include <pistache/http.h>
-#include <pistache/http_headers.h>
+#include <pistache/listener.h>
 #include <pistache/peer.h>
+#include <pistache/transport.h>
 
-#include <deque>
+#include <algorithm>
+#include <cmath>
+#include <map>
 #include <mutex>
 #include <optional>
-#include <sstream>
+#include <sys/socket.h>
+#include <sys/timerfd.h>
+#include <thread>
+#include <unistd.h>
 #include <utility>
+#include <vector>
 
 namespace chestnutstand {
 namespace {
 
 namespace http = Pistache::Http;
+namespace tcp = Pistache::Tcp;
+using peer_ptr = std::shared_ptr<tcp::Peer>;
 
-constexpr const char* connection_data = "chestnutstand";
-constexpr int status_headers_too_large = 431;
-constexpr int status_too_large = 413;
+constexpr int status_request_timeout = 408;
+// After a refusal the client may still be sending. Closing at once would reset the connection and
+// destroy the response before the client has read it.
+constexpr milliseconds linger_limit{1'000};
+constexpr milliseconds stop_limit{2'000};
+constexpr milliseconds stop_poll_interval{1};
 
-class pending_response;
+http_response plain_refusal(int status, reason /*why*/, std::string_view detail)
+{
+    return {status, {{"Content-Type", "text/plain"}}, std::string{detail}};
+}
 
-/// Responses of one client connection, sent in the order of the requests.
-class connection_state : public std::enable_shared_from_this<connection_state> {
-public:
-    std::shared_ptr<pending_response> add(http::ResponseWriter writer);
-    void complete(pending_response& which, http_response response);
-    void disconnect();
+Pistache::Polling::Tag tag_of(int descriptor)
+{
+    return Pistache::Polling::Tag{static_cast<std::uint64_t>(descriptor)};
+}
 
-private:
-    void send_ready();
+/// State of one client connection; used only by the thread that owns the connection.
+struct connection {
+    connection(peer_ptr client, const http_server_options& options)
+        : peer{std::move(client)}, framer{options.max_header_bytes, options.max_body_bytes},
+          deadline{ms_clock::now() + options.idle_timeout}
+    {
+    }
 
-    std::mutex mutex_;
-    std::deque<std::shared_ptr<pending_response>> pending_;
+    peer_ptr peer;
+    request_framer framer;
+    /// The request that is being handled.
+    std::shared_ptr<response_slot> slot;
+    /// When the wait for the client ends; nothing while it waits for a response.
+    std::optional<time_point> deadline;
+    /// Whether a part of the current request has arrived.
+    bool in_request = false;
+    /// A response is being written.
+    bool writing = false;
+    /// The last response has been written or is being written.
+    bool closing = false;
+    bool broken = false;
+};
+
+/// What the transports of one server share.
+struct server_shared {
+    http_server_options options;
+    http_server::handler handle;
+    std::mutex mutex;
+    std::vector<std::shared_ptr<response_queue>> queues;
+    std::atomic<std::uint32_t> open_connections = 0;
 };
 
-class pending_response final : public responder {
+class server_transport;
+
+/// Passes the events of connections on to the transport that owns them.
+class event_handler final : public tcp::Handler {
 public:
-    pending_response(std::shared_ptr<connection_state> connection, http::ResponseWriter writer)
-        : connection_{std::move(connection)}, writer_{std::move(writer)}
+    std::shared_ptr<tcp::Handler> clone() const override
     {
+        return std::make_shared<event_handler>();
     }
 
-    void send(http_response response) override
+    void onConnection(const peer_ptr& peer) override;
+    void onInput(const char* bytes, std::size_t size, const peer_ptr& peer) override;
+    void onDisconnection(const peer_ptr& peer) override;
+
+private:
+    server_transport& owner();
+};
+
+/// Pistache transport whose connections are written to only by its own thread. Pistache queues
+/// writes by descriptor, so a write queued by another thread can reach a new connection that got
+/// the descriptor of a closed one.
+class server_transport final : public tcp::Transport {
+public:
+    server_transport(std::shared_ptr<server_shared> shared, std::shared_ptr<tcp::Handler> handler)
+        : tcp::Transport{handler}, shared_{std::move(shared)}, handler_{std::move(handler)}
     {
-        connection_->complete(*this, std::move(response));
     }
 
-    std::shared_ptr<cancellation> disconnected() const override { return disconnected_; }
+    server_transport(const server_transport&) = delete;
+    server_transport& operator=(const server_transport&) = delete;
 
-private:
-    friend class connection_state;
+    ~server_transport() override
+    {
+        if (timer_ != -1) {
+            ::close(timer_);
+        }
+    }
 
-    std::shared_ptr<connection_state> connection_;
-    http::ResponseWriter writer_;
-    std::optional<http_response> response_;
-    bool sent_ = false;
-    std::shared_ptr<cancellation> disconnected_ = std::make_shared<cancellation>();
-};
+    std::shared_ptr<Pistache::Aio::Handler> clone() const override
+    {
+        return std::make_shared<server_transport>(shared_, handler_->clone());
+    }
 
-/// Header with any name. Pistache writes only typed headers, not raw ones.
-class named_header final : public http::Header::Header {
-public:
-    explicit named_header(http_header field) : field_{std::move(field)} {}
+    void registerPoller(Pistache::Polling::Epoll& poller) override;
+    void onReady(const Pistache::Aio::FdSet& ready) override;
 
-    const char* name() const override { return field_.name.c_str(); }
-    void write(std::ostream& stream) const override { stream << field_.value; }
-    std::uint64_t hash() const override { return std::hash<std::string>{}(field_.name); }
+    void open(const peer_ptr& peer);
+    void receive(std::string_view bytes, const peer_ptr& peer);
+    void disconnect(const peer_ptr& peer);
 
 private:
-    http_header field_;
+    void advance(connection& client);
+    bool handle_next(connection& client);
+    void refuse(connection& client, const framing_refusal& why);
+    void deliver(response_queue::entry ready);
+    void write(connection& client, std::string bytes);
+    void written(std::size_t id, bool whole);
+    void wait_for_client(connection& client);
+    void check_deadlines();
+    void expire(connection& client);
+    void arm_timer(time_point due);
+    void close_doomed();
+    void close_all();
+
+    std::shared_ptr<server_shared> shared_;
+    std::shared_ptr<tcp::Handler> handler_;
+    std::shared_ptr<response_queue> queue_ = std::make_shared<response_queue>();
+    std::map<std::size_t, connection> connections_;
+    /// Connections to be closed when no event is being handled.
+    std::vector<std::size_t> doomed_;
+    int timer_ = -1;
+    std::optional<time_point> timer_due_;
 };
 
-void write_response(http::ResponseWriter& writer, const http_response& response)
+server_transport& event_handler::owner()
 {
-    // Pistache would announce that it closes the connection, and then keep it open.
-    writer.headers().add<http::Header::Connection>(http::ConnectionControl::KeepAlive);
-    std::optional<http::Mime::MediaType> type;
-    for (const auto& field : response.headers) {
-        if (header_name_equal(field.name, "content-type")) {
-            type = http::Mime::MediaType::fromString(field.value);
-            continue;
+    return *static_cast<server_transport*>(transport());
+}
+
+void event_handler::onConnection(const peer_ptr& peer)
+{
+    owner().open(peer);
+}
+
+void event_handler::onInput(const char* bytes, std::size_t size, const peer_ptr& peer)
+{
+    owner().receive({bytes, size}, peer);
+}
+
+void event_handler::onDisconnection(const peer_ptr& peer)
+{
+    owner().disconnect(peer);
+}
+
+void server_transport::registerPoller(Pistache::Polling::Epoll& poller)
+{
+    tcp::Transport::registerPoller(poller);
+    timer_ = ::timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC);
+    for (const int descriptor : {timer_, queue_->descriptor()}) {
+        poller.addFd(
+            descriptor,
+            Pistache::Flags<Pistache::Polling::NotifyOn>{Pistache::Polling::NotifyOn::Read},
+            tag_of(descriptor));
+    }
+    const std::lock_guard lock{shared_->mutex};
+    shared_->queues.push_back(queue_);
+}
+
+void server_transport::onReady(const Pistache::Aio::FdSet& ready)
+{
+    bool timer_fired = false;
+    for (const auto& event : ready) {
+        timer_fired = timer_fired || event.getTag() == tag_of(timer_);
+    }
+    tcp::Transport::onReady(ready);
+    // After Pistache's own events: a write or a close would invalidate events that it has not seen.
+    if (timer_fired) {
+        check_deadlines();
+    }
+    for (auto entries = queue_->take(); !entries.empty(); entries = queue_->take()) {
+        for (auto& entry : entries) {
+            deliver(std::move(entry));
         }
-        writer.headers().add(std::make_shared<named_header>(field));
     }
-    const auto code = static_cast<http::Code>(response.status);
-    if (type) {
-        writer.send(code, response.body, *type);
-        return;
+    close_doomed();
+    if (queue_->stop_requested()) {
+        close_all();
     }
-    writer.send(code, response.body);
 }
 
-std::shared_ptr<pending_response> connection_state::add(http::ResponseWriter writer)
+void server_transport::open(const peer_ptr& peer)
 {
-    auto added = std::make_shared<pending_response>(shared_from_this(), std::move(writer));
-    const std::lock_guard lock{mutex_};
-    pending_.push_back(added);
-    return added;
+    const auto added = connections_.try_emplace(peer->getID(), peer, shared_->options).first;
+    ++shared_->open_connections;
+    arm_timer(*added->second.deadline);
 }
 
-void connection_state::complete(pending_response& which, http_response response)
+void server_transport::disconnect(const peer_ptr& peer)
 {
-    const std::lock_guard lock{mutex_};
-    if (which.response_) {
+    const auto found = connections_.find(peer->getID());
+    if (found == connections_.end()) {
         return;
     }
-    which.response_ = std::move(response);
-    send_ready();
+    const auto abandoned = std::move(found->second.slot);
+    connections_.erase(found);
+    --shared_->open_connections;
+    if (abandoned) {
+        abandoned->disconnected()->cancel();
+    }
 }
 
-void connection_state::send_ready()
+void server_transport::receive(std::string_view bytes, const peer_ptr& peer)
 {
-    while (!pending_.empty() && pending_.front()->response_) {
-        const auto ready = std::move(pending_.front());
-        pending_.pop_front();
-        try {
-            write_response(ready->writer_, *ready->response_);
-        }
-        catch (const std::exception& error) {
-            log_event(log_level::debug, "response could not be sent", {{"error", error.what()}});
-        }
+    const auto found = connections_.find(peer->getID());
+    if (found == connections_.end() || found->second.closing) {
+        return;
     }
+    connection& client = found->second;
+    client.framer.add(bytes);
+    const auto& options = shared_->options;
+    if (client.slot &&
+        client.framer.buffered() > options.max_header_bytes + options.max_body_bytes) {
+        // The client pipelines more than is kept for it.
+        client.broken = true;
+        doomed_.push_back(peer->getID());
+        return;
+    }
+    advance(client);
 }
 
-void connection_state::disconnect()
+/// Handles requests until one has to be waited for.
+void server_transport::advance(connection& client)
 {
-    std::deque<std::shared_ptr<pending_response>> abandoned;
-    {
-        const std::lock_guard lock{mutex_};
-        abandoned.swap(pending_);
+    if (client.slot || client.writing || client.closing || client.broken) {
+        return;
     }
-    for (const auto& response : abandoned) {
-        response->disconnected_->cancel();
+    if (!handle_next(client)) {
+        wait_for_client(client);
     }
 }
 
-std::vector<http_header> copy_headers(const http::Header::Collection& headers)
+/// Whether a request was complete or refused.
+bool server_transport::handle_next(connection& client)
 {
-    std::vector<http_header> copies;
-    for (const auto& [name, raw] : headers.rawList()) {
-        copies.push_back({raw.name(), raw.value()});
+    auto next = client.framer.next();
+    if (const auto* refused = std::get_if<framing_refusal>(&next)) {
+        refuse(client, *refused);
+        return true;
     }
-    for (const auto& typed : headers.list()) {
-        if (find_header(copies, typed->name())) {
-            continue;
-        }
-        std::ostringstream value;
-        typed->write(value);
-        copies.push_back({typed->name(), value.str()});
+    auto* complete = std::get_if<framed_request>(&next);
+    if (complete == nullptr) {
+        return false;
     }
-    return copies;
+    client.deadline.reset();
+    client.in_request = false;
+    client.slot = std::make_shared<response_slot>(
+        queue_, client.peer->getID(), complete->request.method == "HEAD", complete->keep_alive);
+    shared_->handle(std::move(complete->request), client.slot);
+    return true;
 }
 
-std::size_t byte_count(const std::vector<http_header>& headers)
+void server_transport::wait_for_client(connection& client)
 {
-    std::size_t bytes = 0;
-    for (const auto& field : headers) {
-        bytes += field.name.size() + field.value.size() + 4;
+    if (client.framer.take_continue()) {
+        write(client, "HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    const bool in_request = !client.framer.empty();
+    if (client.deadline && client.in_request == in_request) {
+        return;
     }
-    return bytes;
+    client.in_request = in_request;
+    const auto& options = shared_->options;
+    client.deadline =
+        ms_clock::now() + (in_request ? options.request_timeout : options.idle_timeout);
+    arm_timer(*client.deadline);
 }
 
-class request_handler : public http::Handler {
-public:
-    request_handler(http_server_options options, http_server::handler handle)
-        : options_{std::move(options)}, handle_{std::move(handle)}
-    {
+void server_transport::refuse(connection& client, const framing_refusal& why)
+{
+    const auto& make = shared_->options.refuse;
+    const http_response response = make ? make(why.status, why.why, why.detail)
+                                        : plain_refusal(why.status, why.why, why.detail);
+    client.closing = true;
+    client.framer.discard();
+    write(client, serialize(response, false, true));
+}
+
+void server_transport::deliver(response_queue::entry ready)
+{
+    const auto found = connections_.find(ready.slot->connection());
+    if (found == connections_.end() || found->second.slot != ready.slot) {
+        return;
     }
+    connection& client = found->second;
+    client.slot.reset();
+    client.closing = !ready.slot->keep_alive() || asks_to_close(ready.response);
+    write(client, serialize(ready.response, ready.slot->head_only(), client.closing));
+}
 
-    std::shared_ptr<Pistache::Tcp::Handler> clone() const override
-    {
-        return std::make_shared<request_handler>(*this);
+void server_transport::write(connection& client, std::string bytes)
+{
+    client.writing = true;
+    const std::size_t id = client.peer->getID();
+    const std::size_t size = bytes.size();
+    client.deadline = ms_clock::now() + shared_->options.request_timeout;
+    client.peer->send(Pistache::RawBuffer{std::move(bytes), size}, MSG_NOSIGNAL)
+        .then([this, id](ssize_t) { written(id, true); },
+              [this, id](std::exception_ptr) { written(id, false); });
+    // Writes at once, while the descriptor is known to belong to this connection.
+    flush();
+    if (client.writing && client.deadline) {
+        arm_timer(*client.deadline);
     }
+}
 
-    void onRequest(const http::Request& request, http::ResponseWriter writer) override
-    {
-        const auto connection = state_of(writer.getPeer());
-        if (!connection) {
-            return;
+void server_transport::written(std::size_t id, bool whole)
+{
+    const auto found = connections_.find(id);
+    if (found == connections_.end()) {
+        return;
+    }
+    connection& client = found->second;
+    client.writing = false;
+    client.broken = client.broken || !whole;
+    if (client.broken) {
+        doomed_.push_back(id);
+        return;
+    }
+    if (client.closing) {
+        ::shutdown(client.peer->fd(), SHUT_WR);
+        client.deadline = ms_clock::now() + linger_limit;
+        arm_timer(*client.deadline);
+        return;
+    }
+    client.deadline.reset();
+    advance(client);
+}
+
+void server_transport::check_deadlines()
+{
+    std::uint64_t ignored = 0;
+    [[maybe_unused]] const auto bytes = ::read(timer_, &ignored, sizeof ignored);
+    timer_due_.reset();
+    const time_point now = ms_clock::now();
+    std::vector<std::size_t> due;
+    std::optional<time_point> next;
+    for (const auto& [id, client] : connections_) {
+        if (!client.deadline) {
+            continue;
         }
-        const auto response = connection->add(std::move(writer));
-        http_request copy;
-        copy.method = http::methodString(request.method());
-        copy.target = request.resource() + request.query().as_str();
-        copy.headers = copy_headers(request.headers());
-        if (byte_count(copy.headers) + copy.target.size() > options_.max_header_bytes) {
-            response->send({status_headers_too_large, {}, {}});
-            return;
+        if (*client.deadline <= now) {
+            due.push_back(id);
         }
-        copy.body = request.body();
-        if (copy.body.size() > options_.max_body_bytes) {
-            response->send({status_too_large, {}, {}});
-            return;
+        else {
+            next = next ? std::min(*next, *client.deadline) : *client.deadline;
         }
-        handle_(std::move(copy), response);
     }
+    if (next) {
+        arm_timer(*next);
+    }
+    for (const std::size_t id : due) {
+        expire(connections_.at(id));
+    }
+}
 
-    void onDisconnection(const std::shared_ptr<Pistache::Tcp::Peer>& peer) override
-    {
-        const auto data = peer->tryGetData(connection_data);
-        if (data) {
-            std::static_pointer_cast<connection_state>(data)->disconnect();
-        }
+void server_transport::expire(connection& client)
+{
+    if (client.in_request && !client.writing && !client.closing) {
+        refuse(client, {status_request_timeout, reason::malformed_request,
+                        "the request was not complete in time"});
+        return;
     }
+    doomed_.push_back(client.peer->getID());
+}
 
-private:
-    static std::shared_ptr<connection_state>
-    state_of(const std::shared_ptr<Pistache::Tcp::Peer>& peer)
-    {
-        if (!peer) {
-            return nullptr;
-        }
-        auto data = peer->tryGetData(connection_data);
-        if (!data) {
-            data = std::make_shared<connection_state>();
-            peer->putData(connection_data, data);
+void server_transport::arm_timer(time_point due)
+{
+    if (timer_due_ && *timer_due_ <= due) {
+        return;
+    }
+    timer_due_ = due;
+    const double seconds = std::max(0.001, (due - ms_clock::now()).count() / 1000.0 + 0.001);
+    itimerspec when{};
+    when.it_value.tv_sec = static_cast<time_t>(seconds);
+    when.it_value.tv_nsec = static_cast<long>((seconds - std::floor(seconds)) * 1e9);
+    ::timerfd_settime(timer_, 0, &when, nullptr);
+}
+
+void server_transport::close_doomed()
+{
+    for (const std::size_t id : std::exchange(doomed_, {})) {
+        const auto found = connections_.find(id);
+        if (found == connections_.end()) {
+            continue;
         }
-        return std::static_pointer_cast<connection_state>(data);
+        const peer_ptr peer = found->second.peer;
+        disconnect(peer);
+        removePeer(peer);
     }
+}
 
-    http_server_options options_;
-    http_server::handler handle_;
-};
+void server_transport::close_all()
+{
+    for (const auto& [id, client] : connections_) {
+        doomed_.push_back(id);
+    }
+    close_doomed();
+}
 
 } // namespace
 
 struct http_server::state {
-    http_server_options options;
-    http_server::handler handle;
-    std::unique_ptr<http::Endpoint> endpoint;
+    std::shared_ptr<server_shared> shared = std::make_shared<server_shared>();
+    std::unique_ptr<tcp::Listener> listener;
+    std::uint16_t port = 0;
 };
 
 http_server::http_server(http_server_options options, handler handle)
     : state_{std::make_unique<state>()}
 {
-    state_->options = std::move(options);
-    state_->handle = std::move(handle);
+    state_->shared->options = std::move(options);
+    state_->shared->handle = std::move(handle);
 }
 
 http_server::~http_server()
@@ -250,21 +448,21 @@
 
 absl::Status http_server::start()
 {
-    const auto& options = state_->options;
-    const auto timeout =
-        std::chrono::duration_cast<std::chrono::milliseconds>(options.request_timeout);
+    const auto& options = state_->shared->options;
     try {
         const Pistache::Address address{options.address, Pistache::Port{options.port}};
-        state_->endpoint = std::make_unique<http::Endpoint>(address);
-        state_->endpoint->init(
-            http::Endpoint::options()
-                .threads(static_cast<int>(options.threads))
-                .flags(Pistache::Tcp::Options::ReuseAddr | Pistache::Tcp::Options::NoDelay)
-                .maxRequestSize(options.max_body_bytes + options.max_header_bytes)
-                .headerTimeout(timeout)
-                .bodyTimeout(timeout));
-        state_->endpoint->setHandler(std::make_shared<request_handler>(options, state_->handle));
-        state_->endpoint->serveThreaded();
+        auto& listener = state_->listener = std::make_unique<tcp::Listener>(address);
+        listener->init(options.threads, Pistache::Flags<tcp::Options>{tcp::Options::ReuseAddr |
+                                                                      tcp::Options::NoDelay |
+                                                                      tcp::Options::CloseOnExec});
+        const auto handler = std::make_shared<event_handler>();
+        listener->setTransportFactory([shared = state_->shared, handler] {
+            return std::make_shared<server_transport>(shared, handler);
+        });
+        listener->setHandler(handler);
+        listener->bind();
+        state_->port = listener->getPort();
+        listener->runThreaded();
     }
     catch (const std::exception& error) {
         return absl::UnavailableError("cannot listen on " + options.address + ":" +
@@ -275,15 +473,24 @@
 
 std::uint16_t http_server::port() const
 {
-    return state_->endpoint->getPort();
+    return state_->port;
 }
 
 void http_server::stop()
 {
-    if (state_->endpoint) {
-        state_->endpoint->shutdown();
-        state_->endpoint.reset();
+    if (!state_->listener) {
+        return;
+    }
+    const auto& shared = *state_->shared;
+    for (const auto& queue : shared.queues) {
+        queue->request_stop();
+    }
+    const time_point limit = ms_clock::now() + stop_limit;
+    while (shared.open_connections > 0 && ms_clock::now() < limit) {
+        std::this_thread::sleep_for(stop_poll_interval);
     }
+    state_->listener->shutdown();
+    state_->listener.reset();
 }
 
 } // namespace chestnutstand
--- /dev/null
+++ b/lib/transport/request_framer.cpp
@@ -0,0 +1,277 @@
+#include "request_framer.h"
+
+#include "chestnutstand/transport/headers.h"
+
+#include <absl/strings/ascii.h>
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+#include <pistache/http.h>
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+#include <vector>
+
+namespace chestnutstand {
+namespace {
+
+namespace http = Pistache::Http;
+
+constexpr std::string_view line_end = "\r\n";
+constexpr int status_length_required = 411;
+constexpr int status_too_large = 413;
+constexpr int status_expectation_failed = 417;
+constexpr int status_headers_too_large = 431;
+
+framing_refusal malformed(std::string detail)
+{
+    return {400, reason::malformed_request, std::move(detail)};
+}
+
+/// Characters of a method or a field name (RFC 9110, 5.6.2).
+bool is_token(std::string_view text)
+{
+    constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+    return !text.empty() && std::all_of(text.begin(), text.end(), [&](char each) {
+        return absl::ascii_isalnum(static_cast<unsigned char>(each)) ||
+               marks.find(each) != std::string_view::npos;
+    });
+}
+
+bool is_field_value(std::string_view text)
+{
+    return std::none_of(text.begin(), text.end(), [](char each) {
+        return each != '\t' && absl::ascii_iscntrl(static_cast<unsigned char>(each));
+    });
+}
+
+// A fragment or an unencoded character would be read differently by the next hop.
+bool is_origin_form(std::string_view target)
+{
+    return !target.empty() && target.front() == '/' &&
+           std::all_of(target.begin(), target.end(), [](char each) {
+               return absl::ascii_isgraph(static_cast<unsigned char>(each)) && each != '#';
+           });
+}
+
+std::string_view trim(std::string_view text)
+{
+    constexpr std::string_view blanks = " \t";
+    const auto first = text.find_first_not_of(blanks);
+    if (first == std::string_view::npos) {
+        return {};
+    }
+    return text.substr(first, text.find_last_not_of(blanks) - first + 1);
+}
+
+/// Takes one line off the front of a block.
+std::string_view take_line(std::string_view& block)
+{
+    const auto end = block.find(line_end);
+    const std::string_view line = block.substr(0, end);
+    block.remove_prefix(end == std::string_view::npos ? block.size() : end + line_end.size());
+    return line;
+}
+
+/// Pistache checks method and version. The query and the headers are kept from it: it reorders the
+/// former and refuses values of the latter that only concern the upstream.
+std::optional<framing_refusal> parse_request_line(std::string_view line, framed_request& into)
+{
+    const auto first = line.find(' ');
+    const auto last = line.rfind(' ');
+    if (first == std::string_view::npos || first == last) {
+        return malformed("the request line must be METHOD TARGET VERSION");
+    }
+    const std::string_view target = line.substr(first + 1, last - first - 1);
+    into.request.method = std::string{line.substr(0, first)};
+    if (!is_token(into.request.method) || !is_origin_form(target)) {
+        return malformed("the request line must have a method and a target that starts with /");
+    }
+    const std::string message =
+        absl::StrCat(into.request.method, " / ", std::string{line.substr(last + 1)}, "\r\n\r\n");
+    http::RequestParser parser{message.size()};
+    parser.feed(message.data(), message.size());
+    try {
+        if (parser.parse() != http::Private::State::Done) {
+            return malformed("the request line is not complete");
+        }
+    }
+    catch (const http::HttpError& error) {
+        return malformed(error.reason());
+    }
+    into.request.target = std::string{target};
+    into.keep_alive = parser.request.version() == http::Version::Http11;
+    return std::nullopt;
+}
+
+std::optional<framing_refusal> parse_field(std::string_view line, http_request& into)
+{
+    const auto colon = line.find(':');
+    const std::string_view name = line.substr(0, colon);
+    // A folded line or a blank before the colon starts or ends the name with a blank.
+    if (colon == std::string_view::npos || !is_token(name)) {
+        return malformed("a header line must be NAME: VALUE");
+    }
+    const std::string_view value = trim(line.substr(colon + 1));
+    if (!is_field_value(value)) {
+        return malformed(absl::StrCat("header ", std::string{name}, " has a control character"));
+    }
+    into.headers.push_back({std::string{name}, std::string{value}});
+    return std::nullopt;
+}
+
+std::size_t count_headers(const http_request& request, std::string_view name)
+{
+    return static_cast<std::size_t>(
+        std::count_if(request.headers.begin(), request.headers.end(),
+                      [&](const auto& field) { return header_name_equal(field.name, name); }));
+}
+
+bool closes_connection(const http_request& request)
+{
+    return std::any_of(request.headers.begin(), request.headers.end(), [](const auto& field) {
+        if (!header_name_equal(field.name, "connection")) {
+            return false;
+        }
+        const std::vector<std::string> options = absl::StrSplit(field.value, ',');
+        return std::any_of(options.begin(), options.end(), [](const std::string& option) {
+            return header_name_equal(trim(option), "close");
+        });
+    });
+}
+
+/// Whether a line ends with a bare line feed, which some servers take for a line end and some not.
+bool has_bare_line_feed(std::string_view text, std::size_t from)
+{
+    for (auto at = text.find('\n', from); at != std::string_view::npos;
+         at = text.find('\n', at + 1)) {
+        if (at == 0 || text[at - 1] != '\r') {
+            return true;
+        }
+    }
+    return false;
+}
+
+} // namespace
+
+request_framer::request_framer(std::size_t max_header_bytes, std::size_t max_body_bytes)
+    : max_header_bytes_{max_header_bytes}, max_body_bytes_{max_body_bytes}
+{
+}
+
+framing_result request_framer::next()
+{
+    if (!head_) {
+        if (auto refused = read_head()) {
+            return *refused;
+        }
+    }
+    if (!head_ || buffer_.size() < head_->body_bytes) {
+        return std::monostate{};
+    }
+    framed_request complete = std::move(head_->parsed);
+    complete.request.body = buffer_.substr(0, head_->body_bytes);
+    buffer_.erase(0, head_->body_bytes);
+    head_.reset();
+    return complete;
+}
+
+bool request_framer::take_continue()
+{
+    return head_ && std::exchange(head_->continue_wanted, false);
+}
+
+std::optional<framing_refusal> request_framer::read_head()
+{
+    // Empty lines between requests are ignored (RFC 9112, 2.2).
+    while (buffer_.rfind(line_end, 0) == 0) {
+        buffer_.erase(0, line_end.size());
+    }
+    const auto end = buffer_.find("\r\n\r\n", scanned_);
+    const std::size_t head_bytes = end == std::string::npos ? buffer_.size() : end;
+    if (head_bytes > max_header_bytes_) {
+        return framing_refusal{status_headers_too_large, reason::headers_too_large,
+                               absl::StrCat("the request line and the headers must be at most ",
+                                            max_header_bytes_, " bytes")};
+    }
+    if (has_bare_line_feed(std::string_view{buffer_}.substr(0, head_bytes), scanned_)) {
+        return malformed("lines must end with carriage return and line feed");
+    }
+    if (end == std::string::npos) {
+        scanned_ = buffer_.size() < 3 ? 0 : buffer_.size() - 3;
+        return std::nullopt;
+    }
+    scanned_ = 0;
+    auto parsed = parse_head(std::string_view{buffer_}.substr(0, end));
+    if (auto* refused = std::get_if<framing_refusal>(&parsed)) {
+        return std::move(*refused);
+    }
+    buffer_.erase(0, end + 2 * line_end.size());
+    head_ = std::get<head>(std::move(parsed));
+    return std::nullopt;
+}
+
+std::variant<request_framer::head, framing_refusal>
+request_framer::parse_head(std::string_view block) const
+{
+    head result;
+    http_request& request = result.parsed.request;
+    if (auto refused = parse_request_line(take_line(block), result.parsed)) {
+        return *refused;
+    }
+    while (!block.empty()) {
+        if (auto refused = parse_field(take_line(block), request)) {
+            return *refused;
+        }
+    }
+    const std::size_t hosts = count_headers(request, "host");
+    if (hosts > 1 || (hosts == 0 && result.parsed.keep_alive)) {
+        return malformed("the Host header must be given once");
+    }
+    if (auto refused = read_body_length(result)) {
+        return *refused;
+    }
+    if (const auto expected = find_header(request.headers, "expect")) {
+        if (!header_name_equal(*expected, "100-continue")) {
+            return framing_refusal{status_expectation_failed, reason::malformed_request,
+                                   "the only expectation that is met is 100-continue"};
+        }
+        result.continue_wanted = result.body_bytes > 0;
+    }
+    result.parsed.keep_alive = result.parsed.keep_alive && !closes_connection(request);
+    return result;
+}
+
+std::optional<framing_refusal> request_framer::read_body_length(head& into) const
+{
+    const http_request& request = into.parsed.request;
+    const std::size_t lengths = count_headers(request, "content-length");
+    if (count_headers(request, "transfer-encoding") > 0) {
+        if (lengths > 0) {
+            return malformed("Content-Length and Transfer-Encoding exclude each other");
+        }
+        return framing_refusal{status_length_required, reason::malformed_request,
+                               "a body needs a Content-Length"};
+    }
+    if (lengths == 0) {
+        return std::nullopt;
+    }
+    const std::string_view text = *find_header(request.headers, "content-length");
+    const bool digits = !text.empty() && std::all_of(text.begin(), text.end(), [](char each) {
+        return absl::ascii_isdigit(static_cast<unsigned char>(each));
+    });
+    if (lengths > 1 || !digits) {
+        return malformed("Content-Length must be one non-negative integer");
+    }
+    const char* end = text.data() + text.size();
+    const bool fits = std::from_chars(text.data(), end, into.body_bytes).ec == std::errc{};
+    if (!fits || into.body_bytes > max_body_bytes_) {
+        return framing_refusal{
+            status_too_large, reason::body_too_large,
+            absl::StrCat("the body must be at most ", max_body_bytes_, " bytes")};
+    }
+    return std::nullopt;
+}
+
+} // namespace chestnutstand
