--- a/include/chestnutstand/node/ingress.h
+++ b/include/chestnutstand/node/ingress.h
@@ -21,6 +21,9 @@
     /// Handles one request; the responder gets exactly one response.
     void handle(http_request request, const std::shared_ptr<responder>& response);
 
+    /// Response to a request that the HTTP server could not read.
+    http_response refuse_unreadable(const request_refusal& why);
+
     /// Asks clients to close their connections.
     void begin_drain() { draining_ = true; }
 
--- a/include/chestnutstand/node/problem.h
+++ b/include/chestnutstand/node/problem.h
@@ -10,8 +10,9 @@
 /// HTTP status that a caller gets for an outcome and its reason.
 int status_of(outcome how, reason why);
 
-/// Problem document (RFC 9457) with the headers that state outcome and reason.
-http_response make_problem(outcome how, reason why, std::string_view detail = {});
+/// Problem document (RFC 9457) with the headers that state outcome and reason; status 0 means the
+/// status of outcome and reason.
+http_response make_problem(outcome how, reason why, std::string_view detail = {}, int status = 0);
 
 /// The response a caller gets for the result of its call.
 http_response make_response(call_result result);
--- a/include/chestnutstand/transport/http_server.h
+++ b/include/chestnutstand/transport/http_server.h
@@ -7,8 +7,9 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
-#include <string_view>
+#include <vector>
 
 namespace chestnutstand {
 
@@ -27,6 +28,15 @@
     virtual std::shared_ptr<cancellation> disconnected() const = 0;
 };
 
+/// Why the server itself refuses a request. The connection is closed after that.
+struct request_refusal {
+    int status = 400;
+    reason why = reason::malformed_request;
+    std::string detail;
+    /// Nothing when not all headers could be read.
+    std::optional<std::vector<http_header>> headers;
+};
+
 struct http_server_options {
     std::string address = "127.0.0.1";
     /// 0 means assigned by the kernel.
@@ -39,7 +49,7 @@
     /// A connection without a request is closed after this time.
     milliseconds idle_timeout{300'000};
     /// Makes the response to a request that the server refuses itself; by default plain text.
-    std::function<http_response(int status, reason why, std::string_view detail)> refuse;
+    std::function<http_response(const request_refusal&)> refuse;
 };
 
 /// HTTP/1.1 server. The requests of one connection are handled one after the other; a malformed
--- a/lib/node/components/ingress_component.cpp
+++ b/lib/node/components/ingress_component.cpp
@@ -20,6 +20,9 @@
         options.address = node.config().address;
         options.port = node.config().caller_port;
         options.threads = node.config().http_threads;
+        options.refuse = [this](const request_refusal& why) {
+            return ingress_->refuse_unreadable(why);
+        };
         server_ = std::make_unique<http_server>(
             options, [this](http_request request, const std::shared_ptr<responder>& response) {
                 ingress_->handle(std::move(request), response);
--- a/lib/node/ingress.cpp
+++ b/lib/node/ingress.cpp
@@ -58,6 +58,15 @@
     --in_flight_;
 }
 
+http_response ingress::refuse_unreadable(const request_refusal& why)
+{
+    stats_.count(reason_event::refused, why.why);
+    // The request may carry the key of a call that is running.
+    const bool keyless = why.headers && !find_header(*why.headers, header::idempotency_key);
+    return make_problem(keyless ? outcome::not_run : outcome::unknown, why.why, why.detail,
+                        why.status);
+}
+
 void ingress::send(responder& to, http_response response) const
 {
     if (draining_) {
--- a/lib/node/problem.cpp
+++ b/lib/node/problem.cpp
@@ -58,10 +58,10 @@
     }
 }
 
-http_response make_problem(outcome how, reason why, std::string_view detail)
+http_response make_problem(outcome how, reason why, std::string_view detail, int status)
 {
     http_response response;
-    response.status = status_of(how, why);
+    response.status = status == 0 ? status_of(how, why) : status;
     nlohmann::ordered_json body;
     body["type"] = "urn:chestnutstand:reason:" + std::string{to_string(why)};
     body["title"] = to_string(why);
--- a/lib/transport/curl_client.cpp
+++ b/lib/transport/curl_client.cpp
@@ -34,6 +34,7 @@
     CURL* handle = nullptr;
     curl_slist* headers = nullptr;
     bool request_sent = false;
+    bool headers_complete = false;
     bool chunked = false;
     bool too_large = false;
 
@@ -65,6 +66,11 @@
         // A new header block starts, for example after 100 Continue.
         self.result.response.headers.clear();
         self.chunked = false;
+        self.headers_complete = false;
+        return line.size();
+    }
+    if (line == "\r\n" || line == "\n") {
+        self.headers_complete = true;
         return line.size();
     }
     const auto colon = line.find(':');
@@ -117,6 +123,11 @@
 
 http_error error_of(const transfer& done, CURLcode code)
 {
+    // libcurl reports success when the connection closes within the header block.
+    if (code == CURLE_OK && !done.headers_complete) {
+        return done.result.response.status == 0 ? http_error::connection_lost
+                                                : http_error::truncated;
+    }
     if (code == CURLE_OK) {
         return body_is_framed(done) ? http_error::none : http_error::unframed;
     }
--- a/lib/transport/pistache_server.cpp
+++ b/lib/transport/pistache_server.cpp
@@ -35,9 +35,9 @@
 constexpr milliseconds stop_limit{2'000};
 constexpr milliseconds stop_poll_interval{1};
 
-http_response plain_refusal(int status, reason /*why*/, std::string_view detail)
+http_response plain_refusal(const request_refusal& why)
 {
-    return {status, {{"Content-Type", "text/plain"}}, std::string{detail}};
+    return {why.status, {{"Content-Type", "text/plain"}}, why.detail};
 }
 
 Pistache::Polling::Tag tag_of(int descriptor)
@@ -130,7 +130,7 @@
 private:
     void advance(connection& client);
     bool handle_next(connection& client);
-    void refuse(connection& client, const framing_refusal& why);
+    void refuse(connection& client, const request_refusal& why);
     void deliver(response_queue::entry ready);
     void write(connection& client, std::string bytes);
     void written(std::size_t id, bool whole);
@@ -262,7 +262,7 @@
 bool server_transport::handle_next(connection& client)
 {
     auto next = client.framer.next();
-    if (const auto* refused = std::get_if<framing_refusal>(&next)) {
+    if (const auto* refused = std::get_if<request_refusal>(&next)) {
         refuse(client, *refused);
         return true;
     }
@@ -294,11 +294,10 @@
     arm_timer(*client.deadline);
 }
 
-void server_transport::refuse(connection& client, const framing_refusal& why)
+void server_transport::refuse(connection& client, const request_refusal& why)
 {
     const auto& make = shared_->options.refuse;
-    const http_response response = make ? make(why.status, why.why, why.detail)
-                                        : plain_refusal(why.status, why.why, why.detail);
+    const http_response response = make ? make(why) : plain_refusal(why);
     client.closing = true;
     client.framer.discard();
     write(client, serialize(response, false, true));
@@ -385,8 +384,8 @@
 void server_transport::expire(connection& client)
 {
     if (client.in_request && !client.writing && !client.closing) {
-        refuse(client, {status_request_timeout, reason::malformed_request,
-                        "the request was not complete in time"});
+        refuse(client, client.framer.give_up(status_request_timeout,
+                                             "the request was not complete in time"));
         return;
     }
     doomed_.push_back(client.peer->getID());
--- a/lib/transport/request_framer.cpp
+++ b/lib/transport/request_framer.cpp
@@ -24,9 +24,9 @@
 constexpr int status_expectation_failed = 417;
 constexpr int status_headers_too_large = 431;
 
-framing_refusal malformed(std::string detail)
+request_refusal malformed(std::string detail)
 {
-    return {400, reason::malformed_request, std::move(detail)};
+    return {400, reason::malformed_request, std::move(detail), {}};
 }
 
 /// Characters of a method or a field name (RFC 9110, 5.6.2).
@@ -76,7 +76,7 @@
 
 /// Pistache checks method and version. The query and the headers are kept from it: it reorders the
 /// former and refuses values of the latter that only concern the upstream.
-std::optional<framing_refusal> parse_request_line(std::string_view line, framed_request& into)
+std::optional<request_refusal> parse_request_line(std::string_view line, framed_request& into)
 {
     const auto first = line.find(' ');
     const auto last = line.rfind(' ');
@@ -105,7 +105,7 @@
     return std::nullopt;
 }
 
-std::optional<framing_refusal> parse_field(std::string_view line, http_request& into)
+std::optional<request_refusal> parse_field(std::string_view line, http_request& into)
 {
     const auto colon = line.find(':');
     const std::string_view name = line.substr(0, colon);
@@ -177,12 +177,21 @@
     return complete;
 }
 
+request_refusal request_framer::give_up(int status, std::string detail) const
+{
+    request_refusal refused{status, reason::malformed_request, std::move(detail), {}};
+    if (head_) {
+        refused.headers = head_->parsed.request.headers;
+    }
+    return refused;
+}
+
 bool request_framer::take_continue()
 {
     return head_ && std::exchange(head_->continue_wanted, false);
 }
 
-std::optional<framing_refusal> request_framer::read_head()
+std::optional<request_refusal> request_framer::read_head()
 {
     // Empty lines between requests are ignored (RFC 9112, 2.2).
     while (buffer_.rfind(line_end, 0) == 0) {
@@ -191,9 +200,11 @@
     const auto end = buffer_.find("\r\n\r\n", scanned_);
     const std::size_t head_bytes = end == std::string::npos ? buffer_.size() : end;
     if (head_bytes > max_header_bytes_) {
-        return framing_refusal{status_headers_too_large, reason::headers_too_large,
+        return request_refusal{status_headers_too_large,
+                               reason::headers_too_large,
                                absl::StrCat("the request line and the headers must be at most ",
-                                            max_header_bytes_, " bytes")};
+                                            max_header_bytes_, " bytes"),
+                               {}};
     }
     if (has_bare_line_feed(std::string_view{buffer_}.substr(0, head_bytes), scanned_)) {
         return malformed("lines must end with carriage return and line feed");
@@ -204,7 +215,7 @@
     }
     scanned_ = 0;
     auto parsed = parse_head(std::string_view{buffer_}.substr(0, end));
-    if (auto* refused = std::get_if<framing_refusal>(&parsed)) {
+    if (auto* refused = std::get_if<request_refusal>(&parsed)) {
         return std::move(*refused);
     }
     buffer_.erase(0, end + 2 * line_end.size());
@@ -212,7 +223,7 @@
     return std::nullopt;
 }
 
-std::variant<request_framer::head, framing_refusal>
+std::variant<request_framer::head, request_refusal>
 request_framer::parse_head(std::string_view block) const
 {
     head result;
@@ -230,12 +241,14 @@
         return malformed("the Host header must be given once");
     }
     if (auto refused = read_body_length(result)) {
+        refused->headers = request.headers;
         return *refused;
     }
     if (const auto expected = find_header(request.headers, "expect")) {
         if (!header_name_equal(*expected, "100-continue")) {
-            return framing_refusal{status_expectation_failed, reason::malformed_request,
-                                   "the only expectation that is met is 100-continue"};
+            return request_refusal{status_expectation_failed, reason::malformed_request,
+                                   "the only expectation that is met is 100-continue",
+                                   request.headers};
         }
         result.continue_wanted = result.body_bytes > 0;
     }
@@ -243,7 +256,7 @@
     return result;
 }
 
-std::optional<framing_refusal> request_framer::read_body_length(head& into) const
+std::optional<request_refusal> request_framer::read_body_length(head& into) const
 {
     const http_request& request = into.parsed.request;
     const std::size_t lengths = count_headers(request, "content-length");
@@ -251,8 +264,8 @@
         if (lengths > 0) {
             return malformed("Content-Length and Transfer-Encoding exclude each other");
         }
-        return framing_refusal{status_length_required, reason::malformed_request,
-                               "a body needs a Content-Length"};
+        return request_refusal{
+            status_length_required, reason::malformed_request, "a body needs a Content-Length", {}};
     }
     if (lengths == 0) {
         return std::nullopt;
@@ -267,9 +280,10 @@
     const char* end = text.data() + text.size();
     const bool fits = std::from_chars(text.data(), end, into.body_bytes).ec == std::errc{};
     if (!fits || into.body_bytes > max_body_bytes_) {
-        return framing_refusal{
-            status_too_large, reason::body_too_large,
-            absl::StrCat("the body must be at most ", max_body_bytes_, " bytes")};
+        return request_refusal{status_too_large,
+                               reason::body_too_large,
+                               absl::StrCat("the body must be at most ", max_body_bytes_, " bytes"),
+                               {}};
     }
     return std::nullopt;
 }
--- a/lib/transport/request_framer.h
+++ b/lib/transport/request_framer.h
@@ -1,7 +1,6 @@
 #pragma once
 
-#include "chestnutstand/support/reason.h"
-#include "chestnutstand/transport/call.h"
+#include "chestnutstand/transport/http_server.h"
 
 #include <cstddef>
 #include <optional>
@@ -17,15 +16,8 @@
     bool keep_alive = true;
 };
 
-/// Why a request is refused. The connection cannot be used after that.
-struct framing_refusal {
-    int status = 400;
-    reason why = reason::malformed_request;
-    std::string detail;
-};
-
 /// Nothing when the request is not complete yet.
-using framing_result = std::variant<std::monostate, framed_request, framing_refusal>;
+using framing_result = std::variant<std::monostate, framed_request, request_refusal>;
 
 /// Cuts the bytes of one client connection into requests. Pistache's own framing loses pipelined
 /// requests and repeated header lines, and accepts ambiguous lengths.
@@ -38,6 +30,9 @@
     /// Takes the next complete request out of the buffer.
     framing_result next();
 
+    /// Refusal of a request that is not complete.
+    request_refusal give_up(int status, std::string detail) const;
+
     /// Whether the client waits for 100 Continue before it sends the body; true once per request.
     bool take_continue();
 
@@ -54,9 +49,9 @@
         bool continue_wanted = false;
     };
 
-    std::optional<framing_refusal> read_head();
-    std::variant<head, framing_refusal> parse_head(std::string_view block) const;
-    std::optional<framing_refusal> read_body_length(head& into) const;
+    std::optional<request_refusal> read_head();
+    std::variant<head, request_refusal> parse_head(std::string_view block) const;
+    std::optional<request_refusal> read_body_length(head& into) const;
 
     const std::size_t max_header_bytes_;
     const std::size_t max_body_bytes_;
--- a/unittests/transport/http_server_test.cpp
+++ b/unittests/transport/http_server_test.cpp
@@ -285,8 +285,8 @@
 // Guards against refusals that do not have the form of the port's other errors.
 TEST_F(http_server_test, uses_the_given_form_of_refusals)
 {
-    options_.refuse = [](int status, reason why, std::string_view) {
-        return http_response{status, {}, "refused as " + std::string{to_string(why)}};
+    options_.refuse = [](const request_refusal& why) {
+        return http_response{why.status, {}, "refused as " + std::string{to_string(why.why)}};
     };
     start();
     const auto received = answer_and_close("nonsense\r\n\r\n");
