--- a/tests/fault_proxy/fault_proxy.cpp
+++ b/tests/fault_proxy/fault_proxy.cpp
@@ -1,4 +1,4 @@
-// Relays TCP connections and UDP packets on loopback and injects network faults into them.
+// Relays TCP connections on loopback and injects network faults into them.
 
 #include "relay.h"
 
