--- a/lib/node/components/node_endpoint_component.cpp
+++ b/lib/node/components/node_endpoint_component.cpp
@@ -30,9 +30,10 @@
 
     settle_result settle(std::uint64_t target_instance, const std::string& /*key*/) override
     {
-        return {target_instance == node_.instance() ? settle_state::unknown
-                                                    : settle_state::wrong_instance,
-                {}};
+        settle_result result;
+        result.state = target_instance == node_.instance() ? settle_state::unknown
+                                                           : settle_state::wrong_instance;
+        return result;
     }
 
     load_report probe() override { return executor_.report(); }
--- a/lib/transport/wire_convert.cpp
+++ b/lib/transport/wire_convert.cpp
@@ -167,8 +167,10 @@
 
 settle_result from_wire(const wire::SettleReply& reply)
 {
-    return {value_from_wire(settle_states_on_wire, reply.state(), settle_state::unknown),
-            response_from_wire(reply.response())};
+    settle_result result;
+    result.state = value_from_wire(settle_states_on_wire, reply.state(), settle_state::unknown);
+    result.response = response_from_wire(reply.response());
+    return result;
 }
 
 wire::FetchChangesReply to_wire(const fetched_changes& changes)
