--- a/unittests/transport/node_server_test.cpp
+++ b/unittests/transport/node_server_test.cpp
@@ -43,7 +43,10 @@
     }
     settle_result settle(std::uint64_t, const std::string& key) override
     {
-        return {settle_state::completed, {200, {}, key}};
+        settle_result result;
+        result.state = settle_state::completed;
+        result.response = {200, {}, key};
+        return result;
     }
     load_report probe() override { return {}; }
     void fetch_changes(std::uint64_t, peer_client::changes_done done) override
