Run keyed calls at most once through the whole node

POST /keys/{service} and GET /outcome are served. An instance counts as ended when it has left, was replaced at its address, or was silent for 60 s. SettleReply carries reason and request.

The stub upstream writes the record format of the history checker.

--- a/include/chestnutstand/keys/key_candidates.h
+++ b/include/chestnutstand/keys/key_candidates.h
@@ -12,12 +12,12 @@
 
 /// The executor of this process, for keys that name it as a candidate. Callbacks run exactly once,
 /// on any thread, possibly before the method returns.
-class local_executor {
+class key_executor {
 public:
-    local_executor() = default;
-    local_executor(const local_executor&) = delete;
-    local_executor& operator=(const local_executor&) = delete;
-    virtual ~local_executor() = default;
+    key_executor() = default;
+    key_executor(const key_executor&) = delete;
+    key_executor& operator=(const key_executor&) = delete;
+    virtual ~key_executor() = default;
 
     virtual void execute(const call& what, call_done done) = 0;
     virtual void settle(const std::string& key, peer_client::settle_done done) = 0;
@@ -44,7 +44,7 @@
 /// Executors by reference, whether it is this process or a peer.
 class key_candidates {
 public:
-    key_candidates(std::uint64_t self, peer_client& peers, local_executor& local)
+    key_candidates(std::uint64_t self, peer_client& peers, key_executor& local)
         : self_{self}, peers_{peers}, local_{local}
     {
     }
@@ -71,7 +71,7 @@
 private:
     std::uint64_t self_;
     peer_client& peers_;
-    local_executor& local_;
+    key_executor& local_;
 };
 
 } // namespace chestnutstand
--- a/include/chestnutstand/node/executor.h
+++ b/include/chestnutstand/node/executor.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "chestnutstand/config/document.h"
+#include "chestnutstand/keys/executor_keys.h"
 #include "chestnutstand/support/metrics.h"
 #include "chestnutstand/support/snapshot.h"
 #include "chestnutstand/transport/http_client.h"
@@ -25,7 +26,7 @@
 /// Runs calls on the upstream beside this node.
 class executor {
 public:
-    executor(std::uint64_t instance, http_client& client, metrics& stats);
+    executor(std::uint64_t instance, http_client& client, metrics& stats, executor_keys& keys);
 
     /// Sets or removes the upstream; calls that run on the old one go on.
     void set_upstream(std::optional<local_upstream> upstream);
@@ -41,11 +42,15 @@
 
 private:
     std::optional<reason> refusal(std::uint64_t target_instance, const call& what) const;
+    void start(std::uint64_t target_instance, call what, const std::optional<key_id>& key,
+               const call_done& done);
+    void refuse(const std::optional<key_id>& key, reason why, const call_done& done);
     void finish(const call& what, http_result result, const call_done& done);
 
     const std::uint64_t instance_;
     http_client& client_;
     metrics& stats_;
+    executor_keys& keys_;
     mutable std::mutex mutex_;
     std::optional<local_upstream> upstream_;
     bool draining_ = false;
--- a/include/chestnutstand/node/ingress.h
+++ b/include/chestnutstand/node/ingress.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "chestnutstand/node/dispatcher.h"
+#include "chestnutstand/node/key_router.h"
 #include "chestnutstand/support/metrics.h"
 #include "chestnutstand/support/snapshot.h"
 #include "chestnutstand/transport/http_server.h"
@@ -16,7 +17,7 @@
 class ingress {
 public:
     ingress(std::uint64_t instance, const snapshot<document>& in_force, dispatcher& dispatch,
-            metrics& stats);
+            key_router& keys, metrics& stats);
 
     /// Handles one request; the responder gets exactly one response.
     void handle(http_request request, const std::shared_ptr<responder>& response);
@@ -31,6 +32,8 @@
 
 private:
     void handle_call(const http_request& request, const std::shared_ptr<responder>& response);
+    void handle_issue(const http_request& request, const std::shared_ptr<responder>& response);
+    void handle_query(const http_request& request, const std::shared_ptr<responder>& response);
     void refuse(const http_request& request, responder& response, reason why,
                 std::string_view detail);
     void send(responder& to, http_response response) const;
@@ -40,6 +43,7 @@
     const std::uint64_t instance_;
     const snapshot<document>& in_force_;
     dispatcher& dispatcher_;
+    key_router& keys_;
     metrics& stats_;
     std::atomic<std::uint64_t> next_call_ = 0;
     std::atomic<std::uint32_t> in_flight_ = 0;
--- a/include/chestnutstand/transport/node_server.h
+++ b/include/chestnutstand/transport/node_server.h
@@ -3,6 +3,7 @@
 #include "chestnutstand/transport/peer_client.h"
 
 #include <absl/status/status.h>
+#include <absl/status/statusor.h>
 
 #include <cstdint>
 #include <memory>
@@ -23,7 +24,9 @@
     virtual void execute(std::uint64_t target_instance, call what, call_done done) = 0;
     virtual void forward(std::uint64_t target_instance, call what, bool query_only,
                          call_done done) = 0;
-    virtual settle_result settle(std::uint64_t target_instance, const std::string& key) = 0;
+    /// An error means that nothing is known or changed, and the query may be repeated.
+    virtual absl::StatusOr<settle_result> settle(std::uint64_t target_instance,
+                                                 const std::string& key) = 0;
     virtual load_report probe() = 0;
     virtual void fetch_changes(std::uint64_t from_offset, peer_client::changes_done done) = 0;
     virtual void sync_members(std::vector<std::string> members, peer_client::members_done done) = 0;
--- a/lib/keys/key_owner.cpp
+++ b/lib/keys/key_owner.cpp
@@ -112,6 +112,8 @@
         const auto run = std::make_shared<execution>();
         run->id = id_of(*key);
         run->what = what;
+        // A call that has started runs to its end, whatever its caller does.
+        run->what.cancel = nullptr;
         run->base_request_id = what.request_id;
         run->untried = key->candidates;
         try_next(run);
--- a/lib/node/components/executor_component.cpp
+++ b/lib/node/components/executor_component.cpp
@@ -10,13 +10,19 @@
 namespace {
 
 constexpr milliseconds lease_check_interval{500};
+constexpr milliseconds extra_key_lifetime{60'000};
 
 /// Provides the executor and the lease of the local upstream.
 class executor_component final : public component {
 public:
     absl::Status start(kernel& node) override
     {
-        executor_ = std::make_unique<executor>(node.instance(), node.http(), node.stats());
+        key_table_limits limits;
+        // A candidate remembers a key for longer than its owner may ask about it.
+        limits.lifetime += extra_key_lifetime;
+        keys_ =
+            std::make_unique<executor_keys>(node.instance(), node.config().cluster_secret, limits);
+        executor_ = std::make_unique<executor>(node.instance(), node.http(), node.stats(), *keys_);
         registry_ = std::make_unique<upstream_registry>(
             [this, &node](const std::optional<local_upstream>& upstream) {
                 executor_->set_upstream(upstream);
@@ -25,6 +31,7 @@
                                                 upstream ? upstream->slots : 0);
                 }
             });
+        node.provide(*keys_);
         node.provide(*executor_);
         node.provide(*registry_);
         node.control().repeat(lease_check_interval, [this] { registry_->expire(ms_clock::now()); });
@@ -35,6 +42,7 @@
     bool idle() const override { return executor_->idle(); }
 
 private:
+    std::unique_ptr<executor_keys> keys_;
     std::unique_ptr<executor> executor_;
     std::unique_ptr<upstream_registry> registry_;
 };
--- a/lib/node/components/ingress_component.cpp
+++ b/lib/node/components/ingress_component.cpp
@@ -10,12 +10,16 @@
 /// Serves callers over HTTP.
 class ingress_component final : public component {
 public:
-    std::vector<std::string_view> dependencies() const override { return {"config", "dispatcher"}; }
+    std::vector<std::string_view> dependencies() const override
+    {
+        return {"config", "dispatcher", "keys"};
+    }
 
     absl::Status start(kernel& node) override
     {
-        ingress_ = std::make_unique<ingress>(node.instance(), node.get<config_service>().current(),
-                                             node.get<dispatcher>(), node.stats());
+        ingress_ =
+            std::make_unique<ingress>(node.instance(), node.get<config_service>().current(),
+                                      node.get<dispatcher>(), node.get<key_router>(), node.stats());
         http_server_options options;
         options.address = node.config().address;
         options.port = node.config().caller_port;
--- /dev/null
+++ b/lib/node/components/keys_component.cpp
@@ -0,0 +1,143 @@
+#include "chestnutstand/config/config_service.h"
+#include "chestnutstand/membership/membership.h"
+#include "chestnutstand/node/dispatcher.h"
+#include "chestnutstand/node/executor.h"
+#include "chestnutstand/node/kernel.h"
+#include "chestnutstand/node/key_router.h"
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <set>
+#include <utility>
+
+namespace chestnutstand {
+namespace {
+
+constexpr milliseconds ended_check_interval{500};
+/// A member that is silent for this long counts as ended: it is then unlikely to be only paused,
+/// and an unknown outcome is never wrong.
+constexpr milliseconds silence_limit{60'000};
+
+using instance_set = std::set<std::uint64_t>;
+
+/// The executor of this process as a candidate of keys.
+class own_candidate final : public key_executor {
+public:
+    explicit own_candidate(kernel& node)
+        : instance_{node.instance()}, executor_{node.get<executor>()},
+          keys_{node.get<executor_keys>()}
+    {
+    }
+
+    void execute(const call& what, call_done done) override
+    {
+        executor_.execute(instance_, what, done);
+    }
+    void settle(const std::string& key, peer_client::settle_done done) override
+    {
+        done(keys_.settle(key, ms_clock::now()));
+    }
+
+private:
+    std::uint64_t instance_;
+    executor& executor_;
+    executor_keys& keys_;
+};
+
+/// Provides the owner and the settlement of idempotency keys.
+class keys_component final : public component {
+public:
+    std::vector<std::string_view> dependencies() const override
+    {
+        return {"dispatcher", "executor", "membership", "node_endpoint"};
+    }
+
+    absl::Status start(kernel& node) override
+    {
+        ended_.store(std::make_shared<instance_set>());
+        local_ = std::make_unique<own_candidate>(node);
+        const key_candidates candidates{node.instance(), node.peers(), *local_};
+        const std::string& secret = node.config().cluster_secret;
+        const key_owner_options options{
+            {node.instance(), node.config().address, node.ports().node}, secret, {}, {}};
+        owner_ =
+            std::make_shared<key_owner>(options, candidates, selection(node), environment(node));
+        router_ = std::make_shared<key_router>(node.instance(), secret, node.peers(), owner_,
+                                               std::make_shared<key_settlement>(secret, candidates,
+                                                                                environment(node),
+                                                                                settle_timing{}));
+        node.provide(*router_);
+        node.control().repeat(ended_check_interval, [this, &node] { update_ended(node); });
+        return absl::OkStatus();
+    }
+
+    void stop(kernel& /*node*/) override { owner_->stop(); }
+
+private:
+    key_environment environment(kernel& node) const
+    {
+        return {[] { return ms_clock::now(); },
+                [&node](milliseconds delay, std::function<void()> work) {
+                    node.control().post_after(delay, std::move(work));
+                },
+                [this](const node_reference& candidate) {
+                    return ended_.load()->count(candidate.instance) != 0U;
+                }};
+    }
+
+    candidate_selection selection(kernel& node) const
+    {
+        auto& dispatch = node.get<dispatcher>();
+        return {[&dispatch](const std::string& service) {
+                    return dispatch.choose_distinct(service, "", max_key_candidates);
+                },
+                [this, &dispatch](const call& what, std::vector<node_reference> untried) {
+                    const auto ended = ended_.load();
+                    untried.erase(std::remove_if(untried.begin(), untried.end(),
+                                                 [&](const auto& each) {
+                                                     return ended->count(each.instance) != 0U;
+                                                 }),
+                                  untried.end());
+                    return dispatch.rank(what.service, what.priority, std::move(untried));
+                }};
+    }
+
+    /// Finds the instances that have left, that a new process at the same address has replaced, or
+    /// that have been silent for long. Runs on the control thread.
+    void update_ended(kernel& node)
+    {
+        const time_point now = ms_clock::now();
+        std::map<std::pair<std::string, std::uint16_t>, std::uint64_t> alive;
+        const auto members = node.get<membership>().members();
+        for (const member& each : members) {
+            if (each.state == liveness::alive) {
+                alive[{each.node.address, each.node.node_port}] = each.node.instance;
+                dead_since_.erase(each.node.instance);
+            }
+        }
+        auto ended = std::make_shared<instance_set>(*ended_.load());
+        for (const member& each : members) {
+            if (each.state == liveness::alive || each.state == liveness::suspect) {
+                continue;
+            }
+            const auto since = dead_since_.try_emplace(each.node.instance, now).first->second;
+            if (each.state == liveness::left || now - since >= silence_limit ||
+                alive.count({each.node.address, each.node.node_port}) != 0U) {
+                ended->insert(each.node.instance);
+            }
+        }
+        ended_.store(std::move(ended));
+    }
+
+    std::unique_ptr<own_candidate> local_;
+    std::shared_ptr<key_owner> owner_;
+    std::shared_ptr<key_router> router_;
+    snapshot<instance_set> ended_;
+    std::map<std::uint64_t, time_point> dead_since_;
+};
+
+const registration<keys_component, component> registered{"keys"};
+
+} // namespace
+} // namespace chestnutstand
--- a/lib/node/components/node_endpoint_component.cpp
+++ b/lib/node/components/node_endpoint_component.cpp
@@ -2,6 +2,7 @@
 #include "chestnutstand/membership/membership.h"
 #include "chestnutstand/node/executor.h"
 #include "chestnutstand/node/kernel.h"
+#include "chestnutstand/node/key_router.h"
 #include "chestnutstand/transport/node_server.h"
 
 #include <memory>
@@ -22,17 +23,23 @@
         executor_.execute(target_instance, std::move(what), done);
     }
 
-    void forward(std::uint64_t /*target_instance*/, call /*what*/, bool /*query_only*/,
-                 call_done done) override
+    void forward(std::uint64_t target_instance, call what, bool query_only, call_done done) override
     {
-        done(unknown_outcome(reason::owner_unreachable));
+        auto* keys = node_.find<key_router>();
+        if (keys == nullptr || target_instance != node_.instance()) {
+            done(unknown_outcome(reason::owner_unreachable));
+            return;
+        }
+        keys->receive(what, query_only, done);
     }
 
-    settle_result settle(std::uint64_t target_instance, const std::string& /*key*/) override
+    absl::StatusOr<settle_result> settle(std::uint64_t target_instance,
+                                         const std::string& key) override
     {
-        return {target_instance == node_.instance() ? settle_state::unknown
-                                                    : settle_state::wrong_instance,
-                {}};
+        if (target_instance != node_.instance()) {
+            return settle_result{settle_state::wrong_instance, {}, reason::wrong_instance, {}};
+        }
+        return node_.get<executor_keys>().settle(key, ms_clock::now());
     }
 
     load_report probe() override { return executor_.report(); }
--- a/lib/node/executor.cpp
+++ b/lib/node/executor.cpp
@@ -11,8 +11,8 @@
 
 } // namespace
 
-executor::executor(std::uint64_t instance, http_client& client, metrics& stats)
-    : instance_{instance}, client_{client}, stats_{stats}
+executor::executor(std::uint64_t instance, http_client& client, metrics& stats, executor_keys& keys)
+    : instance_{instance}, client_{client}, stats_{stats}, keys_{keys}
 {
 }
 
@@ -52,17 +52,59 @@
 }
 
 void executor::execute(std::uint64_t target_instance, call what, const call_done& done)
+{
+    if (what.idempotency_key.empty()) {
+        start(target_instance, std::move(what), std::nullopt, done);
+        return;
+    }
+    if (target_instance != instance_) {
+        refuse(std::nullopt, reason::wrong_instance, done);
+        return;
+    }
+    auto decision = keys_.enqueue(what.idempotency_key, request_fingerprint(what.request), done,
+                                  ms_clock::now());
+    if (decision.what == execution_decision::kind::answered) {
+        decision.result.load = report();
+        done(std::move(decision.result));
+    }
+    else if (decision.what == execution_decision::kind::run) {
+        start(target_instance, std::move(what), decision.id,
+              [this, id = decision.id](call_result result) {
+                  keys_.finish(id, std::move(result), ms_clock::now());
+              });
+    }
+}
+
+void executor::refuse(const std::optional<key_id>& key, reason why, const call_done& done)
+{
+    stats_.count(reason_event::refused, why);
+    if (key) {
+        keys_.refuse(*key, why, ms_clock::now());
+        return;
+    }
+    done(not_run(why));
+}
+
+void executor::start(std::uint64_t target_instance, call what, const std::optional<key_id>& key,
+                     const call_done& done)
 {
     std::string base_url;
+    std::optional<reason> refused;
     {
         const std::unique_lock lock{mutex_};
-        if (const auto why = refusal(target_instance, what)) {
-            stats_.count(reason_event::refused, *why);
-            done(not_run(*why));
-            return;
+        refused = refusal(target_instance, what);
+        if (!refused) {
+            // The last check of a key: no fence can come between it and the decision to send.
+            if (key && !keys_.start(*key)) {
+                return;
+            }
+            base_url = upstream_->base_url;
+            ++in_flight_;
         }
-        base_url = upstream_->base_url;
-        ++in_flight_;
+    }
+    if (refused) {
+        refuse(key, *refused, done);
+        return;
     }
     http_request request = make_upstream_request(what);
     const auto timeout = upstream_timeout(what, ms_clock::now());
--- a/lib/node/ingress.cpp
+++ b/lib/node/ingress.cpp
@@ -4,16 +4,59 @@
 #include "chestnutstand/node/problem.h"
 #include "chestnutstand/transport/headers.h"
 
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 
+#include <nlohmann/json.hpp>
+
 #include <utility>
 #include <variant>
 
 namespace chestnutstand {
+namespace {
+
+constexpr std::string_view keys_prefix = "/keys/";
+constexpr std::string_view outcome_target = "/outcome";
+constexpr std::string_view count_parameter = "count=";
+constexpr std::size_t max_keys_per_request = 1'000;
+/// Time that a query may take to reach the owner or to settle the key.
+constexpr milliseconds query_limit{2'000};
+
+struct key_request {
+    std::string service;
+    std::size_t count = 1;
+};
+
+/// Reads /keys/{service}?count=N.
+std::variant<key_request, refusal> parse_key_request(std::string_view target,
+                                                     const document* in_force)
+{
+    target.remove_prefix(keys_prefix.size());
+    const auto end = target.find('?');
+    key_request wanted{std::string{target.substr(0, end)}, 1};
+    if (in_force == nullptr) {
+        return refusal{reason::no_configuration, "this node has no configuration yet"};
+    }
+    if (in_force->find_service(wanted.service) == nullptr) {
+        return refusal{reason::unknown_service, "no service is named " + wanted.service};
+    }
+    if (end == std::string_view::npos) {
+        return wanted;
+    }
+    const std::string_view query = target.substr(end + 1);
+    if (query.rfind(count_parameter, 0) != 0 ||
+        !absl::SimpleAtoi(std::string{query.substr(count_parameter.size())}, &wanted.count) ||
+        wanted.count == 0 || wanted.count > max_keys_per_request) {
+        return refusal{reason::malformed_request, "count must be an integer from 1 to 1000"};
+    }
+    return wanted;
+}
+
+} // namespace
 
 ingress::ingress(std::uint64_t instance, const snapshot<document>& in_force, dispatcher& dispatch,
-                 metrics& stats)
-    : instance_{instance}, in_force_{in_force}, dispatcher_{dispatch}, stats_{stats}
+                 key_router& keys, metrics& stats)
+    : instance_{instance}, in_force_{in_force}, dispatcher_{dispatch}, keys_{keys}, stats_{stats}
 {
 }
 
@@ -24,9 +67,51 @@
         refuse(request, *response, reason::draining, "this node is stopping");
         return;
     }
+    if (request.method == "POST" && request.target.rfind(keys_prefix, 0) == 0) {
+        handle_issue(request, response);
+        return;
+    }
+    if (request.method == "GET" && request.target == outcome_target) {
+        handle_query(request, response);
+        return;
+    }
     handle_call(request, response);
 }
 
+void ingress::handle_issue(const http_request& request, const std::shared_ptr<responder>& response)
+{
+    const auto wanted = parse_key_request(request.target, in_force_.load().get());
+    if (const auto* refused = std::get_if<refusal>(&wanted)) {
+        refuse(request, *response, refused->why, refused->detail);
+        return;
+    }
+    const auto& [service, count] = std::get<key_request>(wanted);
+    const auto keys = keys_.issue(service, count);
+    if (!keys.ok()) {
+        refuse(request, *response, reason::no_upstream, std::string{keys.status().message()});
+        return;
+    }
+    send(*response,
+         {200, {{"Content-Type", "application/json"}}, nlohmann::json{{"keys", *keys}}.dump()});
+    --in_flight_;
+}
+
+void ingress::handle_query(const http_request& request, const std::shared_ptr<responder>& response)
+{
+    const auto key = find_header(request.headers, header::idempotency_key);
+    if (!key) {
+        refuse(request, *response, reason::key_required, "GET /outcome needs an Idempotency-Key");
+        return;
+    }
+    call what;
+    what.idempotency_key = std::string{*key};
+    what.deadline = ms_clock::now() + query_limit;
+    keys_.query(what, [this, response](call_result result) {
+        send(*response, make_response(std::move(result)));
+        --in_flight_;
+    });
+}
+
 void ingress::handle_call(const http_request& request, const std::shared_ptr<responder>& response)
 {
     const time_point start = ms_clock::now();
@@ -40,11 +125,16 @@
     what.request_id = next_request_id();
     what.cancel = response->disconnected();
     latency_histogram& latency = stats_.call_latency(what.service, what.priority);
-    dispatcher_.dispatch(std::move(what), [this, response, start, &latency](call_result result) {
+    const auto done = [this, response, start, &latency](call_result result) {
         latency.record(ms_clock::now() - start);
         send(*response, make_response(std::move(result)));
         --in_flight_;
-    });
+    };
+    if (what.idempotency_key.empty()) {
+        dispatcher_.dispatch(what, done);
+        return;
+    }
+    keys_.run(what, done);
 }
 
 // Another node may be running the key at this moment, so a call with a key cannot be said to be not
--- a/lib/transport/grpc_node_server.cpp
+++ b/lib/transport/grpc_node_server.cpp
@@ -74,8 +74,12 @@
                                      wire::SettleReply* reply) override
     {
         auto* reactor = context->DefaultReactor();
-        *reply = to_wire(handler_.settle(request->target_instance(), request->idempotency_key()));
-        reactor->Finish(grpc::Status::OK);
+        const auto settled =
+            handler_.settle(request->target_instance(), request->idempotency_key());
+        if (settled.ok()) {
+            *reply = to_wire(*settled);
+        }
+        reactor->Finish(to_grpc(settled.status()));
         return reactor;
     }
 
--- a/lib/transport/grpc_peer_client.cpp
+++ b/lib/transport/grpc_peer_client.cpp
@@ -37,6 +37,17 @@
     return {static_cast<absl::StatusCode>(status.error_code()), status.error_message()};
 }
 
+/// Turns a failed forward into owner_unreachable, because it says nothing about earlier copies of
+/// the call.
+call_done without_proof(call_done done)
+{
+    return [done = std::move(done)](call_result result) {
+        const bool no_reply = !result.load && (result.why == reason::peer_unreachable ||
+                                               result.why == reason::peer_connection_lost);
+        done(no_reply ? unknown_outcome(reason::owner_unreachable) : std::move(result));
+    };
+}
+
 /// State of one call; it deletes itself when the callback has run.
 template <typename Request, typename Reply>
 struct unary_call {
@@ -66,7 +77,7 @@
         state->request.set_target_instance(owner.instance);
         state->request.set_query_only(query_only);
         *state->request.mutable_call() = to_wire(what);
-        start_call(owner, what, state, std::move(done),
+        start_call(owner, what, state, without_proof(std::move(done)),
                    [](auto* stub, auto& call_state, auto on_end) {
                        stub->async()->Forward(&call_state.context, &call_state.request,
                                               &call_state.reply, on_end);
--- a/lib/transport/wire_convert.cpp
+++ b/lib/transport/wire_convert.cpp
@@ -1,5 +1,6 @@
 #include "wire_convert.h"
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -162,13 +163,24 @@
     if (result.state == settle_state::completed) {
         response_to_wire(result.response, reply.mutable_response());
     }
+    reply.set_reason(std::string{to_string(result.why)});
+    if (result.request) {
+        reply.set_request(std::string{result.request->begin(), result.request->end()});
+    }
     return reply;
 }
 
 settle_result from_wire(const wire::SettleReply& reply)
 {
-    return {value_from_wire(settle_states_on_wire, reply.state(), settle_state::unknown),
-            response_from_wire(reply.response())};
+    settle_result result;
+    result.state = value_from_wire(settle_states_on_wire, reply.state(), settle_state::unknown);
+    result.response = response_from_wire(reply.response());
+    result.why = reason_names.find(reply.reason()).value_or(reason::internal);
+    if (reply.request().size() == fingerprint{}.size()) {
+        result.request.emplace();
+        std::copy(reply.request().begin(), reply.request().end(), result.request->begin());
+    }
+    return result;
 }
 
 wire::FetchChangesReply to_wire(const fetched_changes& changes)
--- a/tests/stub_upstream/stub_upstream.cpp
+++ b/tests/stub_upstream/stub_upstream.cpp
@@ -176,13 +176,13 @@
         if (!history_.is_open()) {
             return;
         }
-        history_ << nlohmann::json{{"kind", "execution"},
+        history_ << nlohmann::json{{"type", "execution"},
                                    {"service", options_.service},
                                    {"key", text(request, header::idempotency_key)},
-                                   {"request", request.body},
+                                   {"payload", request.body},
                                    {"response", answer.body},
-                                   {"start_ms", start.time_since_epoch().count()},
-                                   {"end_ms", ms_clock::now().time_since_epoch().count()}}
+                                   {"start", start.time_since_epoch().count()},
+                                   {"end", ms_clock::now().time_since_epoch().count()}}
                         .dump()
                  << std::endl;
     }
--- a/unittests/keys/key_simulation.cpp
+++ b/unittests/keys/key_simulation.cpp
@@ -32,7 +32,7 @@
     std::size_t answers = 0;
 };
 
-class cluster::executor : public local_executor {
+class cluster::executor : public key_executor {
 public:
     executor(cluster& all, std::weak_ptr<process> self) : all_{all}, self_{std::move(self)} {}
 
