Queue calls in the executor and probe the upstream within its budget

The executor keeps each call from its admission to its end; the queue knows it by id. commit_to_start() is the one place, in the critical section, where a call becomes started; key checks belong there. Callbacks and sends happen after the mutex is released. Server errors are no samples, because an upstream that fails fast would seem to have become quick; 503 and 429 count as load shedding.

The document is read on each call, so that a call does not meet an older one than its ingress did.

--- a/include/chestnutstand/node/executor.h
+++ b/include/chestnutstand/node/executor.h
@@ -1,14 +1,19 @@
 #pragma once
 
+#include "chestnutstand/admission/admission_queue.h"
+#include "chestnutstand/admission/load_prober.h"
 #include "chestnutstand/config/document.h"
 #include "chestnutstand/support/metrics.h"
-#include "chestnutstand/support/snapshot.h"
 #include "chestnutstand/transport/http_client.h"
 
 #include <cstdint>
+#include <functional>
+#include <memory>
 #include <mutex>
 #include <optional>
 #include <string>
+#include <unordered_map>
+#include <vector>
 
 namespace chestnutstand {
 
@@ -22,35 +27,90 @@
     friend bool operator==(const local_upstream&, const local_upstream&) = default;
 };
 
-/// Runs calls on the upstream beside this node.
+/// Runs calls on the upstream beside this node, as the admission queue permits, and measures the
+/// upstream within its probe budget. Nothing else sends requests to the upstream. Must outlive its
+/// running calls.
 class executor {
 public:
-    executor(std::uint64_t instance, http_client& client, metrics& stats);
+    /// The document in force, or null.
+    using configuration_source = std::function<std::shared_ptr<const document>()>;
 
-    /// Sets or removes the upstream; calls that run on the old one go on.
+    executor(std::uint64_t instance, http_client& client, metrics& stats,
+             configuration_source configuration);
+
+    /// Sets or removes the upstream; calls that run on the old one go on, queued ones are refused
+    /// when the upstream has gone or serves another service.
     void set_upstream(std::optional<local_upstream> upstream);
     std::optional<local_upstream> upstream() const;
 
-    /// Refuses all further calls.
+    /// Refuses all further calls; queued ones still run.
     void begin_drain();
 
+    /// The callback runs exactly once, on any thread, possibly before the method returns.
     void execute(std::uint64_t target_instance, call what, const call_done& done);
 
+    /// Refuses queued calls whose time has passed and sends a probe when one is due; to be called
+    /// every few milliseconds.
+    void poll(time_point now);
+
     load_report report() const;
     bool idle() const;
 
 private:
-    std::optional<reason> refusal(std::uint64_t target_instance, const call& what) const;
-    void finish(const call& what, http_result result, const call_done& done);
+    /// A call from its admission to its end.
+    struct execution {
+        std::uint64_t id = 0;
+        call what;
+        call_done done;
+        std::string base_url;
+        bool started = false;
+        bool cancelled = false;
+        std::optional<http_client::request_id> request;
+    };
+    using execution_ptr = std::shared_ptr<execution>;
+
+    struct refused_call {
+        call_done done;
+        reason why = reason::none;
+        load_report load;
+    };
+
+    /// What has to be done after the mutex is released, as it runs callbacks or sends.
+    struct follow_up {
+        std::vector<execution_ptr> starts;
+        std::vector<refused_call> refusals;
+        /// Newly admitted call, whose cancellation is to be followed.
+        execution_ptr admitted;
+    };
+
+    void apply_configuration(time_point now);
+    std::optional<reason> refusal(std::uint64_t target_instance, const call& what,
+                                  time_point now) const;
+    void admit(call what, const call_done& done, time_point now, follow_up& next);
+    void take_decisions(time_point now, follow_up& next);
+    bool commit_to_start(execution& what);
+    void start(const execution_ptr& what, time_point now, follow_up& next);
+    void refuse_waiting(reason why, follow_up& next);
+    void run(follow_up next);
+    void send(const execution_ptr& what);
+    void cancel(const execution_ptr& what);
+    void finish(const execution_ptr& what, http_result result);
+    load_report report_locked() const;
 
     const std::uint64_t instance_;
     http_client& client_;
     metrics& stats_;
+    const configuration_source configuration_;
+    load_prober prober_;
     mutable std::mutex mutex_;
     std::optional<local_upstream> upstream_;
+    std::shared_ptr<const document> applied_;
+    std::string applied_service_;
+    /// Kept while the upstream is away, as calls may still run on it.
+    std::optional<admission_queue> queue_;
+    std::unordered_map<std::uint64_t, execution_ptr> executions_;
+    std::uint64_t last_id_ = 0;
     bool draining_ = false;
-    std::uint32_t in_flight_ = 0;
-    milliseconds latency_{0};
 };
 
 } // namespace chestnutstand
--- a/lib/node/components/executor_component.cpp
+++ b/lib/node/components/executor_component.cpp
@@ -1,3 +1,4 @@
+#include "chestnutstand/config/config_service.h"
 #include "chestnutstand/membership/membership.h"
 #include "chestnutstand/node/executor.h"
 #include "chestnutstand/node/kernel.h"
@@ -10,13 +11,18 @@
 namespace {
 
 constexpr milliseconds lease_check_interval{500};
+// Bounds how late a queued call learns that its time has passed while no other call ends.
+constexpr milliseconds poll_interval{10};
 
 /// Provides the executor and the lease of the local upstream.
 class executor_component final : public component {
 public:
     absl::Status start(kernel& node) override
     {
-        executor_ = std::make_unique<executor>(node.instance(), node.http(), node.stats());
+        executor_ = std::make_unique<executor>(node.instance(), node.http(), node.stats(), [&node] {
+            const auto* config = node.find<config_service>();
+            return config != nullptr ? config->current().load() : nullptr;
+        });
         registry_ = std::make_unique<upstream_registry>(
             [this, &node](const std::optional<local_upstream>& upstream) {
                 executor_->set_upstream(upstream);
@@ -28,6 +34,7 @@
         node.provide(*executor_);
         node.provide(*registry_);
         node.control().repeat(lease_check_interval, [this] { registry_->expire(ms_clock::now()); });
+        node.control().repeat(poll_interval, [this] { executor_->poll(ms_clock::now()); });
         return absl::OkStatus();
     }
 
--- a/lib/node/executor.cpp
+++ b/lib/node/executor.cpp
@@ -7,19 +7,65 @@
 namespace chestnutstand {
 namespace {
 
-constexpr double latency_smoothing = 0.2;
+constexpr int status_too_many_requests = 429;
+constexpr int status_server_error = 500;
+constexpr int status_service_unavailable = 503;
+
+/// What the result says about the load of the upstream.
+upstream_sample make_sample(const http_result& result)
+{
+    if (result.error == http_error::timed_out) {
+        return {sample_kind::timed_out, result.elapsed};
+    }
+    if (result.error != http_error::none) {
+        return {};
+    }
+    const int status = result.response.status;
+    if (status == status_service_unavailable || status == status_too_many_requests) {
+        return {sample_kind::shed, result.elapsed};
+    }
+    // An upstream that fails fast would seem to have become quick.
+    if (status >= status_server_error) {
+        return {};
+    }
+    return {sample_kind::completed, result.elapsed};
+}
+
+call_result refused(reason why, load_report load)
+{
+    auto result = not_run(why);
+    result.load = std::move(load);
+    return result;
+}
 
 } // namespace
 
-executor::executor(std::uint64_t instance, http_client& client, metrics& stats)
-    : instance_{instance}, client_{client}, stats_{stats}
+executor::executor(std::uint64_t instance, http_client& client, metrics& stats,
+                   configuration_source configuration)
+    : instance_{instance}, client_{client}, stats_{stats},
+      configuration_{std::move(configuration)}, prober_{client, 0.0, ms_clock::now()}
 {
 }
 
 void executor::set_upstream(std::optional<local_upstream> upstream)
 {
-    const std::lock_guard lock{mutex_};
-    upstream_ = std::move(upstream);
+    const auto now = ms_clock::now();
+    follow_up next;
+    {
+        const std::lock_guard lock{mutex_};
+        const bool other_service =
+            !upstream || !upstream_ || upstream->service != upstream_->service;
+        if (other_service) {
+            refuse_waiting(reason::no_upstream, next);
+        }
+        upstream_ = std::move(upstream);
+        if (upstream_ && queue_) {
+            queue_->set_slots(upstream_->slots);
+        }
+        apply_configuration(now);
+        take_decisions(now, next);
+    }
+    run(std::move(next));
 }
 
 std::optional<local_upstream> executor::upstream() const
@@ -32,9 +78,35 @@
 {
     const std::lock_guard lock{mutex_};
     draining_ = true;
+    if (queue_) {
+        queue_->drain();
+    }
 }
 
-std::optional<reason> executor::refusal(std::uint64_t target_instance, const call& what) const
+/// Follows the document and the service of the upstream.
+void executor::apply_configuration(time_point now)
+{
+    const auto current = configuration_();
+    if (!upstream_ || !current || (current == applied_ && upstream_->service == applied_service_)) {
+        return;
+    }
+    applied_ = current;
+    applied_service_ = upstream_->service;
+    const auto* service = current->find_service(upstream_->service);
+    prober_.set_rate(service != nullptr ? service->probe_budget_per_s : 0.0, now);
+    const auto classes = service != nullptr ? *service : service_config{};
+    if (queue_) {
+        queue_->set_classes(classes);
+        return;
+    }
+    queue_.emplace(classes, upstream_->slots);
+    if (draining_) {
+        queue_->drain();
+    }
+}
+
+std::optional<reason> executor::refusal(std::uint64_t target_instance, const call& what,
+                                        time_point now) const
 {
     if (target_instance != instance_) {
         return reason::wrong_instance;
@@ -45,64 +117,225 @@
     if (!upstream_ || upstream_->service != what.service) {
         return reason::no_upstream;
     }
-    if (what.deadline <= ms_clock::now()) {
+    if (!queue_) {
+        return reason::no_configuration;
+    }
+    if (what.deadline <= now) {
         return reason::deadline_exceeded;
     }
+    if (!queue_->find_priority(what.priority)) {
+        return reason::unknown_priority;
+    }
     return std::nullopt;
 }
 
 void executor::execute(std::uint64_t target_instance, call what, const call_done& done)
 {
-    std::string base_url;
+    const auto now = ms_clock::now();
+    follow_up next;
+    {
+        const std::lock_guard lock{mutex_};
+        apply_configuration(now);
+        if (const auto why = refusal(target_instance, what, now)) {
+            next.refusals.push_back({done, *why, report_locked()});
+        }
+        else {
+            admit(std::move(what), done, now, next);
+        }
+    }
+    run(std::move(next));
+}
+
+void executor::admit(call what, const call_done& done, time_point now, follow_up& next)
+{
+    const auto id = ++last_id_;
+    const auto priority = queue_->find_priority(what.priority).value();
+    const auto offered = queue_->offer(id, priority, what.deadline, now);
+    if (offered.result == admission::refused) {
+        next.refusals.push_back({done, offered.why, report_locked()});
+        return;
+    }
+    auto admitted = std::make_shared<execution>();
+    admitted->id = id;
+    admitted->what = std::move(what);
+    admitted->done = done;
+    executions_[id] = admitted;
+    if (offered.result == admission::admitted) {
+        start(admitted, now, next);
+    }
+    else {
+        take_decisions(now, next);
+    }
+    next.admitted = admitted;
+}
+
+void executor::take_decisions(time_point now, follow_up& next)
+{
+    if (!queue_) {
+        return;
+    }
+    while (const auto decision = queue_->next(now)) {
+        const auto found = executions_.find(decision->id);
+        const auto what = found->second;
+        if (decision->starts()) {
+            start(what, now, next);
+            continue;
+        }
+        executions_.erase(found);
+        next.refusals.push_back({what->done, decision->refusal, report_locked()});
+    }
+}
+
+void executor::start(const execution_ptr& what, time_point now, follow_up& next)
+{
+    if (commit_to_start(*what)) {
+        next.starts.push_back(what);
+        return;
+    }
+    queue_->finish(what->id, {}, now);
+    executions_.erase(what->id);
+}
+
+/// The last check before a call is sent to the upstream, in the critical section that makes it a
+/// started one; after this it can no longer be refused. False drops the call without an answer.
+bool executor::commit_to_start(execution& what)
+{
+    what.base_url = upstream_->base_url;
+    what.started = true;
+    return true;
+}
+
+void executor::refuse_waiting(reason why, follow_up& next)
+{
+    for (auto at = executions_.begin(); at != executions_.end();) {
+        const auto& what = *at->second;
+        if (what.started || !queue_->remove(what.id)) {
+            ++at;
+            continue;
+        }
+        next.refusals.push_back({what.done, why, report_locked()});
+        at = executions_.erase(at);
+    }
+}
+
+void executor::run(follow_up next)
+{
+    for (const auto& each : next.starts) {
+        send(each);
+    }
+    for (auto& each : next.refusals) {
+        stats_.count(reason_event::refused, each.why);
+        each.done(refused(each.why, std::move(each.load)));
+    }
+    if (next.admitted && next.admitted->what.cancel) {
+        next.admitted->what.cancel->on_cancel([this, admitted = std::weak_ptr{next.admitted}] {
+            if (const auto what = admitted.lock()) {
+                cancel(what);
+            }
+        });
+    }
+}
+
+void executor::send(const execution_ptr& what)
+{
+    const auto timeout = upstream_timeout(what->what, ms_clock::now());
+    const auto request =
+        client_.send(what->base_url, make_upstream_request(what->what), timeout,
+                     [this, what](http_result result) { finish(what, std::move(result)); });
+    bool cancelled = false;
     {
-        const std::unique_lock lock{mutex_};
-        if (const auto why = refusal(target_instance, what)) {
-            stats_.count(reason_event::refused, *why);
-            done(not_run(*why));
-            return;
+        const std::lock_guard lock{mutex_};
+        what->request = request;
+        cancelled = what->cancelled;
+    }
+    if (cancelled) {
+        client_.cancel(request);
+    }
+}
+
+/// A queued call is taken out; a started one is cancelled unless it has a key, whose outcome would
+/// then become unknown.
+void executor::cancel(const execution_ptr& what)
+{
+    follow_up next;
+    std::optional<http_client::request_id> running;
+    {
+        const std::lock_guard lock{mutex_};
+        if (!what->started) {
+            if (executions_.erase(what->id) > 0) {
+                queue_->remove(what->id);
+                next.refusals.push_back({what->done, reason::caller_gone, report_locked()});
+            }
+        }
+        else if (what->what.idempotency_key.empty()) {
+            what->cancelled = true;
+            running = what->request;
         }
-        base_url = upstream_->base_url;
-        ++in_flight_;
     }
-    http_request request = make_upstream_request(what);
-    const auto timeout = upstream_timeout(what, ms_clock::now());
-    const auto cancel = what.idempotency_key.empty() ? what.cancel : nullptr;
-    const auto id = client_.send(base_url, std::move(request), timeout,
-                                 [this, what = std::move(what), done](http_result result) {
-                                     finish(what, std::move(result), done);
-                                 });
-    if (cancel) {
-        cancel->on_cancel([this, id] { client_.cancel(id); });
+    if (running) {
+        client_.cancel(*running);
     }
+    run(std::move(next));
 }
 
-void executor::finish(const call& what, http_result result, const call_done& done)
+void executor::finish(const execution_ptr& what, http_result result)
 {
-    const milliseconds elapsed = result.elapsed;
-    call_result ended = judge_upstream_response(what, std::move(result));
+    const auto now = ms_clock::now();
+    const auto sample = make_sample(result);
+    call_result ended = judge_upstream_response(what->what, std::move(result));
+    follow_up next;
     {
         const std::lock_guard lock{mutex_};
-        --in_flight_;
-        latency_ += (elapsed - latency_) * latency_smoothing;
+        executions_.erase(what->id);
+        queue_->finish(what->id, sample, now);
+        take_decisions(now, next);
+        ended.load = report_locked();
     }
+    // The next call starts first: the slot is free, and the answer may take time to be written.
+    run(std::move(next));
     if (ended.outcome == outcome::not_run) {
         stats_.count(reason_event::refused, ended.why);
     }
     if (ended.outcome == outcome::unknown) {
         stats_.count(reason_event::unknown_outcome, ended.why);
     }
-    ended.load = report();
-    done(std::move(ended));
+    what->done(std::move(ended));
+}
+
+void executor::poll(time_point now)
+{
+    follow_up next;
+    std::optional<std::string> probe_url;
+    {
+        const std::lock_guard lock{mutex_};
+        apply_configuration(now);
+        take_decisions(now, next);
+        if (upstream_ && !draining_) {
+            probe_url = upstream_->base_url;
+        }
+    }
+    run(std::move(next));
+    if (probe_url) {
+        prober_.poll(*probe_url, now);
+    }
 }
 
 load_report executor::report() const
 {
     const std::lock_guard lock{mutex_};
-    load_report load;
+    return report_locked();
+}
+
+load_report executor::report_locked() const
+{
+    load_report load = queue_ ? queue_->report() : load_report{};
     load.instance = instance_;
-    load.in_flight = in_flight_;
-    load.limit = upstream_ ? upstream_->slots : 0;
-    load.latency = latency_;
+    if (!upstream_) {
+        load.limit = 0;
+    }
+    else if (!queue_) {
+        load.limit = upstream_->slots;
+    }
     load.draining = draining_;
     load.upstream_registered = upstream_.has_value();
     return load;
@@ -111,7 +344,7 @@
 bool executor::idle() const
 {
     const std::lock_guard lock{mutex_};
-    return in_flight_ == 0;
+    return executions_.empty();
 }
 
 } // namespace chestnutstand
--- /dev/null
+++ b/unittests/node/executor_test.cpp
@@ -0,0 +1,241 @@
+#include "chestnutstand/node/executor.h"
+
+#include "chestnutstand/transport/headers.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace chestnutstand {
+namespace {
+
+constexpr std::uint64_t own_instance = 7;
+
+/// Upstream that answers when the test says so.
+class fake_upstream : public http_client {
+public:
+    request_id send(const std::string& /*base_url*/, http_request request, milliseconds timeout,
+                    http_done done) override
+    {
+        const auto id = ++last_id;
+        requests.emplace(id, std::move(request));
+        timeouts.emplace(id, timeout);
+        pending.emplace(id, std::move(done));
+        return id;
+    }
+
+    void cancel(request_id id) override
+    {
+        if (pending.contains(id)) {
+            end(id, {http_error::cancelled, {}, milliseconds{1}});
+        }
+    }
+
+    void end(request_id id, const http_result& result)
+    {
+        const auto done = pending.extract(id).mapped();
+        done(result);
+    }
+
+    void answer(request_id id, int status, std::vector<http_header> headers = {})
+    {
+        const auto request = find_header(requests.at(id).headers, header::request_id);
+        headers.push_back({std::string{header::request_id}, std::string{request.value_or("")}});
+        end(id, {http_error::none, {status, std::move(headers), "done"}, milliseconds{1}});
+    }
+
+    request_id last_id = 0;
+    std::map<request_id, http_request> requests;
+    std::map<request_id, milliseconds> timeouts;
+    std::map<request_id, http_done> pending;
+};
+
+std::shared_ptr<const document> make_document()
+{
+    auto made = std::make_shared<document>();
+    service_config service;
+    service.name = "ledger";
+    service.priorities = {{"read", milliseconds{200}, 3.0, true},
+                          {"write", milliseconds{1000}, 8.0, false}};
+    service.probe_budget_per_s = 0.0;
+    made->services = {service};
+    return made;
+}
+
+class executor_test : public testing::Test {
+protected:
+    executor_test() { node_.set_upstream(local_upstream{"ledger", "http://127.0.0.1:1", 2}); }
+
+    /// Number of the call, whose result is kept under it.
+    int execute(call what = {}, std::uint64_t target = own_instance)
+    {
+        const int number = ++last_call_;
+        what.service = "ledger";
+        what.priority = what.priority.empty() ? "read" : what.priority;
+        what.deadline = ms_clock::now() + milliseconds{60'000};
+        what.request_id = std::to_string(number);
+        node_.execute(target, std::move(what), [this, number](call_result result) {
+            EXPECT_TRUE(results_.emplace(number, std::move(result)).second);
+        });
+        return number;
+    }
+
+    reason why(int number) const
+    {
+        const auto found = results_.find(number);
+        return found == results_.end() ? reason::internal : found->second.why;
+    }
+
+    fake_upstream upstream_;
+    metrics stats_;
+    std::shared_ptr<const document> document_ = make_document();
+    executor node_{own_instance, upstream_, stats_, [this] { return document_; }};
+    std::map<int, call_result> results_;
+    int last_call_ = 0;
+};
+
+// Guards against more calls on the upstream than it has slots, and against a queued call that is
+// forgotten when a slot becomes free.
+TEST_F(executor_test, queues_beyond_the_slots)
+{
+    execute();
+    execute();
+    const int queued = execute();
+    EXPECT_EQ(upstream_.pending.size(), 2U);
+    EXPECT_EQ(node_.report().queues.at(0).length, 1U);
+    upstream_.answer(1, 200);
+    EXPECT_EQ(upstream_.pending.size(), 2U);
+    upstream_.answer(3, 200);
+    ASSERT_TRUE(results_.contains(queued));
+    EXPECT_EQ(results_[queued].outcome, outcome::completed);
+    ASSERT_TRUE(results_[queued].load);
+    EXPECT_EQ(results_[queued].load->in_flight, 1U);
+}
+
+// Guards against a call that runs although its caller has gone, and against a slot that leaks with
+// it.
+TEST_F(executor_test, removes_a_queued_call_that_is_cancelled)
+{
+    execute();
+    execute();
+    call what;
+    what.cancel = std::make_shared<cancellation>();
+    const auto cancel = what.cancel;
+    const int queued = execute(what);
+    cancel->cancel();
+    EXPECT_EQ(results_.at(queued).outcome, outcome::not_run);
+    EXPECT_EQ(why(queued), reason::caller_gone);
+    upstream_.answer(1, 200);
+    upstream_.answer(2, 200);
+    EXPECT_EQ(upstream_.requests.size(), 2U);
+    EXPECT_TRUE(node_.idle());
+}
+
+// Guards against a running call without a key that goes on for nobody, and against a keyed call
+// that is cancelled, whose outcome would become unknown.
+TEST_F(executor_test, cancels_a_running_call_only_without_a_key)
+{
+    call plain;
+    plain.cancel = std::make_shared<cancellation>();
+    call keyed = plain;
+    keyed.idempotency_key = "key";
+    const int first = execute(plain);
+    const int second = execute(keyed);
+    plain.cancel->cancel();
+    EXPECT_EQ(results_.at(first).outcome, outcome::unknown);
+    EXPECT_FALSE(results_.contains(second));
+    upstream_.answer(2, 200);
+    EXPECT_EQ(results_.at(second).outcome, outcome::completed);
+}
+
+// Guards against a cancelled call that is sent, when the cancellation comes before the call.
+TEST_F(executor_test, ends_a_call_that_was_cancelled_before)
+{
+    execute();
+    execute();
+    call what;
+    what.cancel = std::make_shared<cancellation>();
+    what.cancel->cancel();
+    const int late = execute(what);
+    EXPECT_EQ(why(late), reason::caller_gone);
+    EXPECT_EQ(upstream_.requests.size(), 2U);
+}
+
+// Guards against calls that wait for an upstream that does not come back.
+TEST_F(executor_test, refuses_queued_calls_when_the_upstream_goes)
+{
+    const int running = execute();
+    execute();
+    const int queued = execute();
+    node_.set_upstream(std::nullopt);
+    EXPECT_EQ(why(queued), reason::no_upstream);
+    EXPECT_FALSE(results_.contains(running));
+    EXPECT_EQ(why(execute()), reason::no_upstream);
+    upstream_.answer(1, 200);
+    EXPECT_EQ(results_.at(running).outcome, outcome::completed);
+}
+
+// Guards against a drain that drops queued calls or takes new ones.
+TEST_F(executor_test, runs_queued_calls_while_draining)
+{
+    execute();
+    execute();
+    const int queued = execute();
+    node_.begin_drain();
+    EXPECT_EQ(why(execute()), reason::draining);
+    upstream_.answer(1, 200);
+    upstream_.answer(2, 200);
+    EXPECT_FALSE(node_.idle());
+    upstream_.answer(3, 200);
+    EXPECT_EQ(results_.at(queued).outcome, outcome::completed);
+    EXPECT_TRUE(node_.idle());
+}
+
+// Guards against refusals that say nothing of the load, or that are missing for another instance,
+// an unknown class or a missing document.
+TEST_F(executor_test, refuses_with_reason_and_load)
+{
+    call other_class;
+    other_class.priority = "none";
+    const int unknown = execute(other_class);
+    EXPECT_EQ(why(unknown), reason::unknown_priority);
+    EXPECT_EQ(results_.at(unknown).load.value().limit, 2U);
+    EXPECT_EQ(why(execute({}, own_instance + 1)), reason::wrong_instance);
+    executor without{own_instance, upstream_, stats_, [] { return nullptr; }};
+    without.set_upstream(local_upstream{"ledger", "http://127.0.0.1:1", 2});
+    call what;
+    what.service = "ledger";
+    what.deadline = ms_clock::now() + milliseconds{60'000};
+    reason refused_for = reason::none;
+    without.execute(own_instance, what, [&](const call_result& got) { refused_for = got.why; });
+    EXPECT_EQ(refused_for, reason::no_configuration);
+}
+
+// Guards against an upstream that sheds load and is still filled to its slots.
+TEST_F(executor_test, lowers_the_limit_when_the_upstream_sheds)
+{
+    const int shed = execute();
+    upstream_.answer(1, 503, {{std::string{header::not_run}, "true"}});
+    EXPECT_EQ(why(shed), reason::upstream_refused);
+    EXPECT_EQ(results_.at(shed).load.value().limit, 1U);
+    execute();
+    execute();
+    EXPECT_EQ(upstream_.pending.size(), 1U);
+}
+
+// Guards against an upstream that goes on working after the deadline of its call.
+TEST_F(executor_test, passes_the_remaining_time_on)
+{
+    execute();
+    const auto sent = find_header(upstream_.requests.at(1).headers, header::timeout_ms);
+    ASSERT_TRUE(sent);
+    EXPECT_LE(std::stoi(std::string{*sent}), 60'000);
+    EXPECT_LE(upstream_.timeouts.at(1), milliseconds{60'000});
+}
+
+} // namespace
+} // namespace chestnutstand
