--- a/include/chestnutstand/keys/key_owner.h
+++ b/include/chestnutstand/keys/key_owner.h
@@ -61,7 +61,8 @@
     using execution_ptr = std::shared_ptr<execution>;
 
     bool is_too_old(const idempotency_key& key, time_point now) const;
-    admission admit(const idempotency_key& key, const call& what, call_done done, time_point now);
+    key_admission admit(const idempotency_key& key, const call& what, call_done done,
+                        time_point now);
     void answer_at_deadline(const key_id& id, std::uint64_t ticket, milliseconds delay);
     void try_next(const execution_ptr& run);
     void on_executed(const execution_ptr& run, const node_reference& target, call_result result);
--- a/include/chestnutstand/keys/key_table.h
+++ b/include/chestnutstand/keys/key_table.h
@@ -68,7 +68,7 @@
 };
 
 /// Answer of a table to a call: the call is new, waits for another one, or has a result at once.
-struct admission {
+struct key_admission {
     enum class kind : std::uint8_t { admitted, attached, answered };
 
     kind what = kind::answered;
@@ -101,7 +101,8 @@
     explicit key_table(const key_table_limits& limits) : limits_{limits} {}
 
     /// Admits a key as queued, attaches to a key in progress, or answers.
-    admission admit(const key_id& id, const fingerprint& request, call_done done, time_point now);
+    key_admission admit(const key_id& id, const fingerprint& request, call_done done,
+                        time_point now);
 
     /// Attaches to a key in progress whatever its request; no ticket when it is not in progress or
     /// has too many waiters.
@@ -152,8 +153,8 @@
 
     static call_result result_of(const entry& known);
     static std::size_t closed_bytes();
-    admission refuse_full(const key_id& id, time_point now);
-    admission answer(entry& known, const fingerprint& request, call_done done);
+    key_admission refuse_full(const key_id& id, time_point now);
+    key_admission answer(entry& known, const fingerprint& request, call_done done);
     bool has_space(std::size_t bytes, std::size_t limit) const;
     void resize(entry& known, std::size_t bytes);
     void store_result(entry& known, call_result& result);
--- a/lib/keys/executor_keys.cpp
+++ b/lib/keys/executor_keys.cpp
@@ -24,13 +24,13 @@
     }
     const key_id id = id_of(*key);
     const std::lock_guard lock{mutex_};
-    admission admitted = table_.admit(id, request, std::move(done), now);
+    key_admission admitted = table_.admit(id, request, std::move(done), now);
     switch (admitted.what) {
-    case admission::kind::admitted:
+    case key_admission::kind::admitted:
         return {kind::run, id, {}};
-    case admission::kind::attached:
+    case key_admission::kind::attached:
         return {kind::attached, id, {}};
-    case admission::kind::answered:
+    case key_admission::kind::answered:
         break;
     }
     return {kind::answered, id, std::move(admitted.result)};
--- a/lib/keys/key_owner.cpp
+++ b/lib/keys/key_owner.cpp
@@ -68,8 +68,8 @@
     return now - started_ >= key.issued + options_.limits.lifetime;
 }
 
-admission key_owner::admit(const idempotency_key& key, const call& what, call_done done,
-                           time_point now)
+key_admission key_owner::admit(const idempotency_key& key, const call& what, call_done done,
+                               time_point now)
 {
     const key_id id = id_of(key);
     const std::lock_guard lock{mutex_};
@@ -77,10 +77,11 @@
         // Closed explicitly: a thread that read the time earlier must not admit it afterwards.
         released_waiters none;
         table_.close(id, key_state::not_run, reason::key_expired, now, none);
-        return {admission::kind::answered, 0, table_.result(id)};
+        return {key_admission::kind::answered, 0, table_.result(id)};
     }
-    admission admitted = table_.admit(id, request_fingerprint(what.request), std::move(done), now);
-    if (admitted.what == admission::kind::admitted) {
+    key_admission admitted =
+        table_.admit(id, request_fingerprint(what.request), std::move(done), now);
+    if (admitted.what == key_admission::kind::admitted) {
         table_.start(id);
     }
     return admitted;
@@ -102,13 +103,13 @@
         return;
     }
     const time_point now = environment_.now();
-    admission admitted = admit(*key, what, done, now);
-    if (admitted.what == admission::kind::answered) {
+    key_admission admitted = admit(*key, what, done, now);
+    if (admitted.what == key_admission::kind::answered) {
         done(std::move(admitted.result));
         return;
     }
     answer_at_deadline(id_of(*key), admitted.ticket, what.deadline - now);
-    if (admitted.what == admission::kind::admitted) {
+    if (admitted.what == key_admission::kind::admitted) {
         const auto run = std::make_shared<execution>();
         run->id = id_of(*key);
         run->what = what;
--- a/lib/keys/key_table.cpp
+++ b/lib/keys/key_table.cpp
@@ -22,8 +22,8 @@
 
 } // namespace
 
-admission key_table::admit(const key_id& id, const fingerprint& request, call_done done,
-                           time_point now)
+key_admission key_table::admit(const key_id& id, const fingerprint& request, call_done done,
+                               time_point now)
 {
     expire(now);
     const auto found = entries_.find(id);
@@ -31,7 +31,7 @@
         return answer(found->second, request, std::move(done));
     }
     if (state(id) == key_state::expired) {
-        return {admission::kind::answered, 0, unknown_outcome(reason::key_expired)};
+        return {key_admission::kind::answered, 0, unknown_outcome(reason::key_expired)};
     }
     const std::size_t bytes = closed_bytes() + limits_.response_reserve;
     if (!has_space(bytes, limits_.bytes - limits_.closing_bytes)) {
@@ -41,32 +41,32 @@
     added.request = request;
     resize(added, bytes);
     added.waiters.push_back({next_ticket_++, std::move(done)});
-    return {admission::kind::admitted, added.waiters.back().ticket, {}};
+    return {key_admission::kind::admitted, added.waiters.back().ticket, {}};
 }
 
-admission key_table::refuse_full(const key_id& id, time_point now)
+key_admission key_table::refuse_full(const key_id& id, time_point now)
 {
     // Without the record, a delayed copy of the call could be admitted later.
     released_waiters none;
     const bool recorded =
         close(id, key_state::not_run, reason::key_table_full, now, none) == key_state::not_run;
-    return {admission::kind::answered, 0,
+    return {key_admission::kind::answered, 0,
             recorded ? not_run(reason::key_table_full) : unknown_outcome(reason::key_table_full)};
 }
 
-admission key_table::answer(entry& known, const fingerprint& request, call_done done)
+key_admission key_table::answer(entry& known, const fingerprint& request, call_done done)
 {
     if (known.request && *known.request != request) {
-        return {admission::kind::answered, 0, not_run(reason::key_reused)};
+        return {key_admission::kind::answered, 0, not_run(reason::key_reused)};
     }
     if (is_final(known.state)) {
-        return {admission::kind::answered, 0, result_of(known)};
+        return {key_admission::kind::answered, 0, result_of(known)};
     }
     if (known.waiters.size() >= limits_.waiters_per_key) {
-        return {admission::kind::answered, 0, unknown_outcome(reason::key_running)};
+        return {key_admission::kind::answered, 0, unknown_outcome(reason::key_running)};
     }
     known.waiters.push_back({next_ticket_++, std::move(done)});
-    return {admission::kind::attached, known.waiters.back().ticket, {}};
+    return {key_admission::kind::attached, known.waiters.back().ticket, {}};
 }
 
 std::optional<std::uint64_t> key_table::attach(const key_id& id, call_done done)
--- a/lib/node/components/executor_component.cpp
+++ b/lib/node/components/executor_component.cpp
@@ -1,3 +1,4 @@
+#include "chestnutstand/config/config_service.h"
 #include "chestnutstand/membership/membership.h"
 #include "chestnutstand/node/executor.h"
 #include "chestnutstand/node/kernel.h"
@@ -11,6 +12,8 @@
 
 constexpr milliseconds lease_check_interval{500};
 constexpr milliseconds extra_key_lifetime{60'000};
+// Bounds how late a queued call learns that its time has passed while no other call ends.
+constexpr milliseconds poll_interval{10};
 
 /// Provides the executor and the lease of the local upstream.
 class executor_component final : public component {
@@ -22,7 +25,11 @@
         limits.lifetime += extra_key_lifetime;
         keys_ =
             std::make_unique<executor_keys>(node.instance(), node.config().cluster_secret, limits);
-        executor_ = std::make_unique<executor>(node.instance(), node.http(), node.stats(), *keys_);
+        executor_ =
+            std::make_unique<executor>(node.instance(), node.http(), node.stats(), *keys_, [&node] {
+                const auto* config = node.find<config_service>();
+                return config != nullptr ? config->current().load() : nullptr;
+            });
         registry_ = std::make_unique<upstream_registry>(
             [this, &node](const std::optional<local_upstream>& upstream) {
                 executor_->set_upstream(upstream);
@@ -35,6 +42,7 @@
         node.provide(*executor_);
         node.provide(*registry_);
         node.control().repeat(lease_check_interval, [this] { registry_->expire(ms_clock::now()); });
+        node.control().repeat(poll_interval, [this] { executor_->poll(ms_clock::now()); });
         return absl::OkStatus();
     }
 
--- a/unittests/keys/key_table_test.cpp
+++ b/unittests/keys/key_table_test.cpp
@@ -42,18 +42,20 @@
 {
     key_table table{{}};
     const key_id later{7, 5};
-    ASSERT_EQ(table.admit(later, request, ignore(), at(0)).what, admission::kind::admitted);
+    ASSERT_EQ(table.admit(later, request, ignore(), at(0)).what, key_admission::kind::admitted);
     table.finish(later, completed("x"), at(10));
     table.expire(at(600'011));
     ASSERT_EQ(table.size(), 0U);
     for (const auto& id : {later, first_key}) {
         const auto second = table.admit(id, request, ignore(), at(1));
-        EXPECT_EQ(second.what, admission::kind::answered);
+        EXPECT_EQ(second.what, key_admission::kind::answered);
         EXPECT_EQ(second.result.outcome, outcome::unknown);
         EXPECT_EQ(second.result.why, reason::key_expired);
     }
-    EXPECT_EQ(table.admit({7, 6}, request, ignore(), at(600'012)).what, admission::kind::admitted);
-    EXPECT_EQ(table.admit({8, 1}, request, ignore(), at(600'012)).what, admission::kind::admitted);
+    EXPECT_EQ(table.admit({7, 6}, request, ignore(), at(600'012)).what,
+              key_admission::kind::admitted);
+    EXPECT_EQ(table.admit({8, 1}, request, ignore(), at(600'012)).what,
+              key_admission::kind::admitted);
 }
 
 // Guards against a full table that makes room by forgetting a result, or that refuses a key
@@ -62,10 +64,10 @@
 {
     key_table table{small_limits(5'000, 2'000)};
     std::uint64_t sequence = 0;
-    admission last;
+    key_admission last;
     do {
         last = table.admit({7, ++sequence}, request, ignore(), at(0));
-    } while (last.what == admission::kind::admitted);
+    } while (last.what == key_admission::kind::admitted);
     EXPECT_EQ(last.result.outcome, outcome::not_run);
     EXPECT_EQ(last.result.why, reason::key_table_full);
     ASSERT_GT(sequence, 2U);
@@ -77,7 +79,7 @@
     EXPECT_EQ(table.admit({7, sequence}, request, ignore(), at(2)).result.outcome,
               outcome::not_run);
     EXPECT_EQ(table.admit({7, sequence + 1}, request, ignore(), at(2)).what,
-              admission::kind::admitted);
+              key_admission::kind::admitted);
 }
 
 // Guards against a claim that a key is closed when there was no space to record it.
@@ -150,7 +152,7 @@
                 const auto admitted = table.admit(
                     id, request, [&answers, caller](const call_result&) { ++answers[caller]; },
                     at(now));
-                answers[caller] += admitted.what == admission::kind::answered ? 1 : 0;
+                answers[caller] += admitted.what == key_admission::kind::answered ? 1 : 0;
             }
             else if (operation == 1 && table.start(id)) {
                 RC_ASSERT(started.insert(id.sequence).second);
