Wait for routes instead of members before the first call in tests

The path test failed with no_route in about one of three runs. The member list is current at once, while the routing table is published at most every 100 ms, so a node can know all members and have no route yet. A lost member record was ruled out: the list was complete each time. /status now reports the routes, and the tests wait for those.

The overload test read the old field name of the stub's execution history.

--- a/lib/node/admin_api.cpp
+++ b/lib/node/admin_api.cpp
@@ -195,6 +195,10 @@
                                            {"slots", upstream->slots}}
                                     : json(nullptr);
         body["load"] = describe(node_.get<executor>().report());
+        body["routes"] = json::object();
+        for (const auto& [service, members] : node_.get<membership>().table().load()->by_service) {
+            body["routes"][service] = members.size();
+        }
         body["members"] = json::array();
         for (const auto& each : node_.get<membership>().members()) {
             body["members"].push_back(describe(each));
--- a/tests/integration/overload_test.cpp
+++ b/tests/integration/overload_test.cpp
@@ -88,7 +88,7 @@
     for (std::string line; std::getline(lines, line);) {
         const auto entry = nlohmann::json::parse(line, nullptr, false);
         if (entry.is_object()) {
-            bodies.insert(entry.value("request", ""));
+            bodies.insert(entry.value("payload", ""));
         }
     }
     return bodies;
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -139,13 +139,11 @@
         if (!now.is_object() || now["config_version"].is_null()) {
             return false;
         }
-        std::size_t alive = 0;
-        for (const auto& other : now["members"]) {
-            const bool serving =
-                other["state"] == "alive" && !other["service"].empty() && other["service"] != "";
-            alive += serving ? 1 : 0;
+        std::size_t routed = 0;
+        for (const auto& members : now["routes"]) {
+            routed += members.get<std::size_t>();
         }
-        return alive >= count;
+        return routed >= count;
     };
     return eventually([&] {
         for (const auto& each : members_) {
