Build the server test with the settlement error and lint the ingress

node_handler::settle may return an error since a full table cannot fence; the test double keeps returning the same result. clang-tidy reported a copied request in ingress::handle.

--- a/include/chestnutstand/node/ingress.h
+++ b/include/chestnutstand/node/ingress.h
@@ -20,7 +20,7 @@
             key_router& keys, metrics& stats);
 
     /// Handles one request; the responder gets exactly one response.
-    void handle(http_request request, const std::shared_ptr<responder>& response);
+    void handle(const http_request& request, const std::shared_ptr<responder>& response);
 
     /// Response to a request that the HTTP server could not read.
     http_response refuse_unreadable(const request_refusal& why);
--- a/lib/node/components/ingress_component.cpp
+++ b/lib/node/components/ingress_component.cpp
@@ -28,8 +28,9 @@
             return ingress_->refuse_unreadable(why);
         };
         server_ = std::make_unique<http_server>(
-            options, [this](http_request request, const std::shared_ptr<responder>& response) {
-                ingress_->handle(std::move(request), response);
+            options,
+            [this](const http_request& request, const std::shared_ptr<responder>& response) {
+                ingress_->handle(request, response);
             });
         absl::Status status = server_->start();
         if (status.ok()) {
--- a/lib/node/ingress.cpp
+++ b/lib/node/ingress.cpp
@@ -60,7 +60,7 @@
 {
 }
 
-void ingress::handle(http_request request, const std::shared_ptr<responder>& response)
+void ingress::handle(const http_request& request, const std::shared_ptr<responder>& response)
 {
     ++in_flight_;
     if (refusing_) {
--- a/unittests/transport/node_server_test.cpp
+++ b/unittests/transport/node_server_test.cpp
@@ -41,7 +41,7 @@
     {
         done(not_run(reason::stale_key));
     }
-    settle_result settle(std::uint64_t, const std::string& key) override
+    absl::StatusOr<settle_result> settle(std::uint64_t, const std::string& key) override
     {
         settle_result result;
         result.state = settle_state::completed;
