--- a/benchmarks/policy_benchmark.cpp
+++ b/benchmarks/policy_benchmark.cpp
@@ -219,7 +219,7 @@
 };
 
 /// Changes the service time of a random upstream again and again.
-void make_noise(run& model, std::shared_ptr<random_generator> random)
+void make_noise(run& model, const std::shared_ptr<random_generator>& random)
 {
     fake_upstream& any = *model.upstreams[(*random)() % model.upstreams.size()];
     any.slowdown = any.slowdown > 1.0 ? 1.0 : 4.0;
