Measure mass events after the network has settled

Doubtful claims are checked five times a second instead of twice, so that a small side of a partition gives up the others sooner.

--- a/include/chestnutstand/membership/swim.h
+++ b/include/chestnutstand/membership/swim.h
@@ -28,7 +28,7 @@
     /// 7,400 members well within it.
     milliseconds digest_quiet{10'000};
     /// Pause between checks of doubtful claims by a ping to the member concerned.
-    milliseconds verify_interval{500};
+    milliseconds verify_interval{200};
     milliseconds sync_interval{5'000};
     /// Bytes per second that the push-pull exchanges started here may cost.
     double sync_bytes_per_s = 1'000;
@@ -107,6 +107,8 @@
 
     const member& self() const { return self_; }
     const swim_counters& counters() const { return counters_; }
+    /// Updates that are still being passed on.
+    std::size_t queued_updates() const { return queue_.size(); }
     const member_table& table() const { return table_; }
     /// All members, this node first.
     std::vector<member> members() const;
