--- a/include/chestnutstand/routing/peer_load.h
+++ b/include/chestnutstand/routing/peer_load.h
@@ -24,10 +24,10 @@
     std::uint32_t limit = 0;
     /// Recent latency of replies, network included; zero while it is not known.
     milliseconds latency{0};
+    /// Response time of the upstream from the last report, without the network.
+    milliseconds reported_latency{0};
     /// Age of the last report; empty without one.
     std::optional<milliseconds> report_age;
-    bool draining = false;
-    bool upstream_registered = true;
 };
 
 /// What this node knows of the load of one peer. Safe for concurrent use; one small mutex, so that
@@ -37,9 +37,10 @@
     /// Counts a call as sent.
     void begin_call();
 
-    /// Ends a call that was counted by begin_call. The latency is given only for calls that the
-    /// upstream answered well: a fast failure must not make the peer look fast.
-    void end_call(std::optional<milliseconds> latency, time_point now);
+    /// Ends a call that was counted by begin_call. Without a good answer from the upstream the
+    /// elapsed time is only a lower bound of the latency: a timeout shows that the peer is slow, a
+    /// fast failure must not make it look fast.
+    void end_call(milliseconds elapsed, bool answered, time_point now);
 
     /// Stores the report of a reply or a probe.
     void record_report(const load_report& report, const priority_order& order, time_point now);
@@ -64,9 +65,8 @@
     time_point replied_at_{};
     time_point avoided_until_{};
     float latency_ms_ = 0.0F;
+    float reported_latency_ms_ = 0.0F;
     bool has_report_ = false;
-    bool draining_ = false;
-    bool upstream_registered_ = true;
 };
 
 } // namespace chestnutstand
--- a/include/chestnutstand/transport/http_server.h
+++ b/include/chestnutstand/transport/http_server.h
@@ -7,7 +7,9 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace chestnutstand {
 
@@ -26,6 +28,15 @@
     virtual std::shared_ptr<cancellation> disconnected() const = 0;
 };
 
+/// Why the server itself refuses a request. The connection is closed after that.
+struct request_refusal {
+    int status = 400;
+    reason why = reason::malformed_request;
+    std::string detail;
+    /// Nothing when not all headers could be read.
+    std::optional<std::vector<http_header>> headers;
+};
+
 struct http_server_options {
     std::string address = "127.0.0.1";
     /// 0 means assigned by the kernel.
@@ -35,9 +46,15 @@
     std::size_t max_header_bytes = std::size_t{16} << 10U;
     /// A client that has not sent its whole request by then is refused.
     milliseconds request_timeout{10'000};
+    /// A connection without a request is closed after this time.
+    milliseconds idle_timeout{300'000};
+    /// Makes the response to a request that the server refuses itself; by default plain text.
+    std::function<http_response(const request_refusal&)> refuse;
 };
 
-/// HTTP/1.1 server. Responses on one connection are sent in the order of its requests.
+/// HTTP/1.1 server. The requests of one connection are handled one after the other; a malformed
+/// one is refused and ends the connection. A response is written only by the thread that owns the
+/// connection, so that it cannot reach a later connection with the same descriptor.
 class http_server {
 public:
     using handler = std::function<void(http_request, std::shared_ptr<responder>)>;
--- a/lib/node/components/ingress_component.cpp
+++ b/lib/node/components/ingress_component.cpp
@@ -20,11 +20,14 @@
         options.address = node.config().address;
         options.port = node.config().caller_port;
         options.threads = node.config().http_threads;
+        options.refuse = [this](const request_refusal& why) {
+            return ingress_->refuse_unreadable(why);
+        };
         server_ = std::make_unique<http_server>(
             options, [this](http_request request, const std::shared_ptr<responder>& response) {
                 ingress_->handle(std::move(request), response);
             });
-        const absl::Status status = server_->start();
+        absl::Status status = server_->start();
         if (status.ok()) {
             node.ports().caller = server_->port();
         }
--- a/lib/routing/peer_load.cpp
+++ b/lib/routing/peer_load.cpp
@@ -33,16 +33,16 @@
     ++sent_since_report_;
 }
 
-void peer_load::end_call(std::optional<milliseconds> latency, time_point now)
+void peer_load::end_call(milliseconds elapsed, bool answered, time_point now)
 {
     const std::lock_guard lock{mutex_};
     if (own_in_flight_ > 0) {
         --own_in_flight_;
     }
-    if (!latency) {
+    const double sample = elapsed.count();
+    if (!answered && sample <= latency_ms_) {
         return;
     }
-    const double sample = latency->count();
     const double previous = latency_ms_ > 0.0F ? decayed_latency(now).count() : sample;
     latency_ms_ = static_cast<float>(previous + newest_weight * (sample - previous));
     replied_at_ = now;
@@ -59,12 +59,7 @@
         std::uint16_t& length = queued_[order.rank(queue.priority)];
         length = narrow(length + queue.length);
     }
-    if (latency_ms_ <= 0.0F) {
-        latency_ms_ = static_cast<float>(report.latency.count());
-        replied_at_ = now;
-    }
-    draining_ = report.draining;
-    upstream_registered_ = report.upstream_registered;
+    reported_latency_ms_ = static_cast<float>(report.latency.count());
     sent_since_report_ = 0;
     reported_at_ = now;
     has_report_ = true;
@@ -82,11 +77,10 @@
     }
     view.limit = limit_;
     view.latency = decayed_latency(now);
+    view.reported_latency = milliseconds{reported_latency_ms_};
     if (has_report_) {
         view.report_age = now - reported_at_;
     }
-    view.draining = draining_;
-    view.upstream_registered = upstream_registered_;
     return view;
 }
 
