--- a/include/chestnutstand/config/config_service.h
+++ b/include/chestnutstand/config/config_service.h
@@ -14,7 +14,6 @@
 #include <deque>
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -113,6 +112,7 @@
     void keep_record(std::uint64_t offset, const std::string& payload);
     void announce();
 
+    void forget_hint(const node_reference& peer);
     void fetch();
     void finish_fetch(const peer_hint& asked, const absl::StatusOr<fetched_changes>& changes);
 
@@ -138,7 +138,8 @@
     std::deque<change_record> records_;
     std::size_t record_bytes_ = 0;
 
-    std::optional<peer_hint> newest_hint_;
+    /// From different peers, oldest first, so that a peer that does not answer is not the only one.
+    std::vector<peer_hint> hints_;
     bool fetching_ = false;
 
     std::unordered_map<std::string, pending_publish> publishes_;
--- a/lib/config/config_service.cpp
+++ b/lib/config/config_service.cpp
@@ -22,6 +22,8 @@
 
 constexpr milliseconds bootstrap_read_period{1'000};
 
+constexpr std::size_t max_hints = 4;
+
 absl::Status unpublished(const absl::Status& cause)
 {
     return absl::UnavailableError(str_cat("the change was not published: ", cause.message()));
@@ -208,46 +210,55 @@
     if (next_offset <= replay_.next_offset()) {
         return;
     }
-    if (!newest_hint_ || newest_hint_->next_offset < next_offset) {
-        newest_hint_ = {peer, next_offset};
+    forget_hint(peer);
+    if (hints_.size() == max_hints) {
+        hints_.erase(hints_.begin());
     }
+    hints_.push_back({peer, next_offset});
     if (!fetching_) {
         fetch();
     }
 }
 
+void config_service::forget_hint(const node_reference& peer)
+{
+    hints_.erase(std::remove_if(hints_.begin(), hints_.end(),
+                                [&](const auto& each) { return each.peer == peer; }),
+                 hints_.end());
+}
+
 void config_service::fetch()
 {
-    if (!newest_hint_ || newest_hint_->next_offset <= replay_.next_offset()) {
-        newest_hint_.reset();
+    const auto newest =
+        std::max_element(hints_.begin(), hints_.end(), [](const auto& left, const auto& right) {
+            return left.next_offset < right.next_offset;
+        });
+    if (newest == hints_.end() || newest->next_offset <= replay_.next_offset()) {
+        hints_.clear();
         return;
     }
     fetching_ = true;
-    const auto hint = *newest_hint_;
-    peers_.fetch_changes(
-        hint.peer, replay_.next_offset(), options_.fetch_timeout,
-        [this, hint](absl::StatusOr<fetched_changes> changes) {
-            loop_.post([this, hint, changes = std::move(changes)] { finish_fetch(hint, changes); });
-        });
+    peers_.fetch_changes(newest->peer, replay_.next_offset(), options_.fetch_timeout,
+                         [this, asked = *newest](absl::StatusOr<fetched_changes> changes) {
+                             loop_.post([this, asked, changes = std::move(changes)] {
+                                 finish_fetch(asked, changes);
+                             });
+                         });
 }
 
 void config_service::finish_fetch(const peer_hint& asked,
                                   const absl::StatusOr<fetched_changes>& changes)
 {
-    fetching_ = false;
     const std::uint64_t before = replay_.next_offset();
     if (changes.ok()) {
         apply_fetched(*changes);
     }
     // A peer that did not help is not asked again for the same hint; gossip repeats hints.
-    const bool same_hint = newest_hint_ && newest_hint_->peer == asked.peer &&
-                           newest_hint_->next_offset == asked.next_offset;
-    if (replay_.next_offset() == before && same_hint) {
-        newest_hint_.reset();
-    }
-    if (!fetching_) {
-        fetch();
+    if (replay_.next_offset() == before) {
+        forget_hint(asked.peer);
     }
+    fetching_ = false;
+    fetch();
 }
 
 void config_service::publish(section_change change, publish_done done)
--- /dev/null
+++ b/tests/integration/command_line_test.cpp
@@ -0,0 +1,111 @@
+#include <gtest/gtest.h>
+
+#include <array>
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <string>
+#include <sys/wait.h>
+
+namespace chestnutstand::testing {
+namespace {
+
+struct command_result {
+    int status = -1;
+    std::string output;
+};
+
+command_result run(const std::string& arguments)
+{
+    const std::string command = std::string{CHESTNUTSTAND_PROGRAM} + " " + arguments + " 2>&1";
+    command_result result;
+    FILE* pipe = ::popen(command.c_str(), "r");
+    std::array<char, 4096> buffer{};
+    for (std::size_t size = 0; (size = std::fread(buffer.data(), 1, buffer.size(), pipe)) > 0;) {
+        result.output.append(buffer.data(), size);
+    }
+    const int status = ::pclose(pipe);
+    result.status = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+    return result;
+}
+
+class command_line : public ::testing::Test {
+protected:
+    command_line()
+    {
+        std::string name = (std::filesystem::temp_directory_path() / "command-XXXXXX").string();
+        directory_ = ::mkdtemp(name.data());
+    }
+    ~command_line() override { std::filesystem::remove_all(directory_); }
+
+    std::string write(const std::string& name, const std::string& text) const
+    {
+        const auto path = directory_ / name;
+        std::ofstream{path} << text;
+        return path.string();
+    }
+
+    std::filesystem::path directory_;
+};
+
+// Guards against a subcommand without help or version, and against other exit statuses.
+TEST_F(command_line, every_subcommand_has_help_and_version)
+{
+    EXPECT_EQ(run("--help").status, 0);
+    EXPECT_EQ(run("--version").output.rfind("chestnutstand ", 0), 0U);
+    for (const std::string name : {"node", "check", "config", "status", "drain"}) {
+        const auto help = run(name + " --help");
+        EXPECT_EQ(help.status, 0) << name;
+        EXPECT_EQ(help.output.rfind("usage: chestnutstand " + name, 0), 0U) << help.output;
+        EXPECT_EQ(run(name + " --version").status, 0) << name;
+    }
+}
+
+// Guards against usage errors that look like failures of the system.
+TEST_F(command_line, usage_errors_exit_with_2)
+{
+    EXPECT_EQ(run("").status, 2);
+    EXPECT_EQ(run("unknown").output,
+              "chestnutstand: unknown subcommand: unknown; see chestnutstand --help\n");
+    EXPECT_EQ(run("check --colour").output,
+              "chestnutstand: unknown option: --colour; see chestnutstand check --help\n");
+    EXPECT_EQ(run("check settings").status, 2);
+    EXPECT_EQ(run("status").output, "chestnutstand: expected --admin URL or --settings FILE\n");
+    EXPECT_EQ(run("status").status, 2);
+    EXPECT_EQ(run("config publish file").status, 2);
+}
+
+// Guards against invalid input that is accepted, or refused without file, key and expected value.
+TEST_F(command_line, check_names_file_key_and_expected_value)
+{
+    const auto settings = write("node.json", R"({"data_centre": "garia", "admin_prot": 1,
+        "log_url": "http://127.0.0.1:1", "cluster_secret": "0123456789abcdef"})");
+    const auto refused = run("check settings " + settings);
+    EXPECT_EQ(refused.status, 3);
+    EXPECT_EQ(refused.output.rfind("chestnutstand: " + settings +
+                                       ": admin_prot: unknown key, expected one of address, ",
+                                   0),
+              0U)
+        << refused.output;
+    const auto valid = write("a.json", R"({"owner": "t", "services": [
+        {"name": "s", "priorities": [{"name": "p"}]}]})");
+    EXPECT_EQ(run("check document " + valid).status, 0);
+    const auto same = write("b.json", R"({"owner": "t", "services": [
+        {"name": "s", "priorities": [{"name": "p"}]}]})");
+    EXPECT_EQ(run("check document " + valid + " " + same).status, 3);
+    EXPECT_EQ(run("check settings " + (directory_ / "missing").string()).status, 1);
+}
+
+// Guards against a node that cannot be reached being reported as success or as wrong usage.
+TEST_F(command_line, unreachable_node_exits_with_1)
+{
+    // Port 1 is reserved and never listens here.
+    const auto result = run("status --admin http://127.0.0.1:1");
+    EXPECT_EQ(result.status, 1);
+    EXPECT_EQ(result.output, "chestnutstand: no answer from the node at http://127.0.0.1:1: "
+                             "connection refused\n");
+}
+
+} // namespace
+} // namespace chestnutstand::testing
--- a/tools/chestnutstand/check.cpp
+++ b/tools/chestnutstand/check.cpp
@@ -1,21 +1,15 @@
+#include "admin_client.h"
 #include "subcommand.h"
 
 #include "chestnutstand/config/document_parser.h"
 #include "chestnutstand/config/settings_file.h"
 #include "chestnutstand/support/str_cat.h"
 
-#include <filesystem>
 #include <iostream>
 
 namespace chestnutstand {
 namespace {
 
-int fail_with(const absl::Status& status)
-{
-    return fail(absl::IsNotFound(status) ? exit_failed : exit_invalid_input,
-                std::string{status.message()});
-}
-
 int check_settings(const std::string& file)
 {
     const auto loaded = load_settings(file);
--- a/unittests/config/config_service_test.cpp
+++ b/unittests/config/config_service_test.cpp
@@ -1,4 +1,5 @@
 #include "fakes.h"
+#include "records.pb.h"
 
 #include "chestnutstand/config/config_service.h"
 
@@ -19,6 +20,19 @@
     return {id, team, name, base, content_of(team, name)};
 }
 
+wire::ConfigRecord to_record(const section_change& from)
+{
+    wire::ConfigRecord record;
+    auto& change = *record.mutable_change();
+    change.set_change_id(from.change_id);
+    change.set_team(from.team);
+    change.set_section(from.section);
+    change.set_base_version(from.base_version);
+    change.set_content(from.content);
+    change.set_published_at(from.base_version);
+    return record;
+}
+
 class config_service_test : public testing::Test {
 protected:
     std::unique_ptr<fake_node> make_node(std::uint64_t instance)
@@ -145,6 +159,23 @@
     EXPECT_TRUE(eventually([&] { return starting->document_version() == 2; }));
 }
 
+// Guards against a node that waits for the next gossip when the first peer does not answer.
+TEST_F(config_service_test, second_hint_is_used_when_the_first_peer_is_gone)
+{
+    const auto publisher = make_node(1);
+    const auto gone = make_node(3);
+    peers_.add(3, nullptr);
+    const auto learning = make_node(2);
+    EXPECT_TRUE(must_answer(publisher->publish(change("c1", "a", 0))).accepted);
+    log_.set_down(true);
+    learning->on_loop([&] {
+        learning->service().hint(gone->reference(), 1);
+        learning->service().hint(publisher->reference(), 1);
+        return true;
+    });
+    EXPECT_TRUE(eventually([&] { return learning->document_version() == 1; }));
+}
+
 // Guards against checkpoints that are missing, or written by all nodes, and against nodes that
 // cannot start or go on once the records before a checkpoint have expired.
 TEST_F(config_service_test, one_checkpoint_lets_nodes_start_after_expiry)
@@ -203,5 +234,28 @@
     EXPECT_EQ(starting->document_version(), 0U);
 }
 
+// Guards against a new node that replays a long log from its start.
+TEST_F(config_service_test, long_log_is_replayed_from_its_last_checkpoint)
+{
+    change_replay replay;
+    std::uint64_t offset = 0;
+    const auto append = [&](const wire::ConfigRecord& record) {
+        replay.apply(offset++, record);
+        log_.append(config_stream, record.SerializeAsString(), [](const auto&) {});
+    };
+    wire::ConfigRecord record;
+    for (std::uint64_t i = 0; i < 2000; ++i) {
+        // Records of no known kind are the cheapest.
+        append(i % 500 == 0 ? to_record(change(std::to_string(i), "a", replay.version())) : record);
+    }
+    *record.mutable_checkpoint() = replay.make_checkpoint();
+    append(record);
+    const auto starting = make_node(1);
+    starting->tail();
+    EXPECT_TRUE(eventually([&] { return starting->next_offset() == 2001; }));
+    EXPECT_EQ(starting->document_version(), 1501U);
+    EXPECT_LT(log_.records_read(), 1000U);
+}
+
 } // namespace
 } // namespace chestnutstand
--- a/unittests/config/fakes.h
+++ b/unittests/config/fakes.h
@@ -58,6 +58,7 @@
              ++i) {
             page.records.push_back({i, age_, records_[i]});
         }
+        records_read_ += page.records.size();
         lock.unlock();
         done(page);
     }
@@ -67,6 +68,7 @@
     void set_age(milliseconds age) { set(age_, age); }
     void expire_before(std::uint64_t first) { set(first_, first); }
     std::size_t append_count() const { return get(appends_); }
+    std::size_t records_read() const { return get(records_read_); }
     std::vector<std::string> records() const { return get(records_); }
 
 private:
@@ -90,6 +92,7 @@
     bool down_ = false;
     append_fault fault_ = append_fault::none;
     std::size_t appends_ = 0;
+    std::size_t records_read_ = 0;
 };
 
 /// Hands fetches to the services of other fake nodes.
@@ -200,6 +203,8 @@
         });
         return result->get_future();
     }
+    config_service& service() { return *service_; }
+    const node_reference& reference() const { return reference_; }
     std::uint64_t next_offset()
     {
         return on_loop([&] { return service_->next_offset(); });
