--- a/tests/integration/command_line_test.cpp
+++ b/tests/integration/command_line_test.cpp
@@ -34,12 +34,12 @@
 
 class command_line : public ::testing::Test {
 protected:
-    command_line()
+    void SetUp() override
     {
         std::string name = (std::filesystem::temp_directory_path() / "command-XXXXXX").string();
         directory_ = ::mkdtemp(name.data());
     }
-    ~command_line() override { std::filesystem::remove_all(directory_); }
+    void TearDown() override { std::filesystem::remove_all(directory_); }
 
     std::string write(const std::string& name, const std::string& text) const
     {
--- a/unittests/config/config_service_test.cpp
+++ b/unittests/config/config_service_test.cpp
@@ -89,6 +89,7 @@
     const auto again = must_answer(other->publish(change("c1", "a", 0)));
     EXPECT_TRUE(again.accepted) << again.explanation;
     EXPECT_EQ(again.version, 1U);
+    EXPECT_TRUE(must_answer(publisher->publish(change("c1", "a", 0))).accepted);
     EXPECT_EQ(log_.append_count(), 1U);
 }
 
@@ -207,6 +208,12 @@
     EXPECT_EQ(starting->document_version(), 5U);
     EXPECT_TRUE(eventually([&] { return behind->next_offset() == 6; }));
     EXPECT_EQ(behind->document_version(), 5U);
+
+    // This peer has only the records after the checkpoint and sends its state instead.
+    log_.set_down(true);
+    const auto learning = make_node(6);
+    learning->hint(*starting, 6);
+    EXPECT_TRUE(eventually([&] { return learning->document_version() == 5; }));
 }
 
 // Guards against a document that is lost because its only records expire unnoticed.
--- a/unittests/config/fakes.h
+++ b/unittests/config/fakes.h
@@ -155,9 +155,10 @@
                                                             options, loop_, log, peers)}
     {
         // Without waiting, because two nodes may fetch from each other.
-        peers.add(options.instance, [this](std::uint64_t from, peer_client::changes_done done) {
-            loop_.post([this, from, done] { done(service_->handle_fetch(from)); });
-        });
+        peers.add(options.instance,
+                  [this](std::uint64_t from, const peer_client::changes_done& done) {
+                      loop_.post([this, from, done] { done(service_->handle_fetch(from)); });
+                  });
         on_loop([&] {
             service_->on_advance(
                 [this](std::uint64_t) { versions_.push_back(document_version()); });
