--- a/lib/node/components/ingress_component.cpp
+++ b/lib/node/components/ingress_component.cpp
@@ -10,16 +10,23 @@
 /// Serves callers over HTTP.
 class ingress_component final : public component {
 public:
-    std::vector<std::string_view> dependencies() const override { return {"config", "dispatcher"}; }
+    std::vector<std::string_view> dependencies() const override
+    {
+        return {"config", "dispatcher", "keys"};
+    }
 
     absl::Status start(kernel& node) override
     {
-        ingress_ = std::make_unique<ingress>(node.instance(), node.get<config_service>().current(),
-                                             node.get<dispatcher>(), node.stats());
+        ingress_ =
+            std::make_unique<ingress>(node.instance(), node.get<config_service>().current(),
+                                      node.get<dispatcher>(), node.get<key_router>(), node.stats());
         http_server_options options;
         options.address = node.config().address;
         options.port = node.config().caller_port;
         options.threads = node.config().http_threads;
+        options.refuse = [this](const request_refusal& why) {
+            return ingress_->refuse_unreadable(why);
+        };
         server_ = std::make_unique<http_server>(
             options, [this](http_request request, const std::shared_ptr<responder>& response) {
                 ingress_->handle(std::move(request), response);
--- /dev/null
+++ b/lib/transport/request_framer.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "chestnutstand/transport/http_server.h"
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace chestnutstand {
+
+struct framed_request {
+    http_request request;
+    /// Whether the client wants to use the connection again.
+    bool keep_alive = true;
+};
+
+/// Nothing when the request is not complete yet.
+using framing_result = std::variant<std::monostate, framed_request, request_refusal>;
+
+/// Cuts the bytes of one client connection into requests. Pistache's own framing loses pipelined
+/// requests and repeated header lines, and accepts ambiguous lengths.
+class request_framer {
+public:
+    request_framer(std::size_t max_header_bytes, std::size_t max_body_bytes);
+
+    void add(std::string_view bytes) { buffer_.append(bytes); }
+
+    /// Takes the next complete request out of the buffer.
+    framing_result next();
+
+    /// Refusal of a request that is not complete.
+    request_refusal give_up(int status, std::string detail) const;
+
+    /// Whether the client waits for 100 Continue before it sends the body; true once per request.
+    bool take_continue();
+
+    /// Whether no byte of a further request has arrived.
+    bool empty() const { return buffer_.empty() && !head_; }
+
+    std::size_t buffered() const { return buffer_.size(); }
+    void discard() { buffer_.clear(); }
+
+private:
+    struct head {
+        framed_request parsed;
+        std::size_t body_bytes = 0;
+        bool continue_wanted = false;
+    };
+
+    std::optional<request_refusal> read_head();
+    std::variant<head, request_refusal> parse_head(std::string_view block) const;
+    std::optional<request_refusal> read_body_length(head& into) const;
+
+    const std::size_t max_header_bytes_;
+    const std::size_t max_body_bytes_;
+    std::string buffer_;
+    /// Bytes of the buffer that are known not to contain the end of the header block.
+    std::size_t scanned_ = 0;
+    /// Header block of the request whose body is still arriving.
+    std::optional<head> head_;
+};
+
+} // namespace chestnutstand
--- a/tests/integration/config_changes_test.cpp
+++ b/tests/integration/config_changes_test.cpp
@@ -123,8 +123,10 @@
     for (int round = 0; round < 10; ++round) {
         std::vector<std::future<nlohmann::json>> racers;
         for (std::size_t node = 0; node < nodes_.size(); ++node) {
-            racers.push_back(std::async(std::launch::async,
-                                        [this, node] { return publish(node, "main", version_); }));
+            // The base is copied, because version_ changes once the first verdict is in.
+            racers.push_back(std::async(std::launch::async, [this, node, base = version_] {
+                return publish(node, "main", base);
+            }));
         }
         int winners = 0;
         for (auto& each : racers) {
