--- /dev/null
+++ b/tests/integration/command_line_test.cpp
@@ -0,0 +1,147 @@
+#include "../support/fleet.h"
+
+#include <gtest/gtest.h>
+
+#include <array>
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <string>
+#include <sys/wait.h>
+
+namespace chestnutstand::testing {
+namespace {
+
+struct command_result {
+    int status = -1;
+    std::string output;
+};
+
+command_result run(const std::string& arguments)
+{
+    const std::string command = std::string{CHESTNUTSTAND_PROGRAM} + " " + arguments + " 2>&1";
+    command_result result;
+    FILE* pipe = ::popen(command.c_str(), "r");
+    std::array<char, 4096> buffer{};
+    for (std::size_t size = 0; (size = std::fread(buffer.data(), 1, buffer.size(), pipe)) > 0;) {
+        result.output.append(buffer.data(), size);
+    }
+    const int status = ::pclose(pipe);
+    result.status = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+    return result;
+}
+
+class command_line : public ::testing::Test {
+protected:
+    void SetUp() override
+    {
+        std::string name = (std::filesystem::temp_directory_path() / "command-XXXXXX").string();
+        directory_ = ::mkdtemp(name.data());
+    }
+    void TearDown() override { std::filesystem::remove_all(directory_); }
+
+    std::string write(const std::string& name, const std::string& text) const
+    {
+        const auto path = directory_ / name;
+        std::ofstream{path} << text;
+        return path.string();
+    }
+
+    std::filesystem::path directory_;
+};
+
+// Guards against a subcommand without help or version, and against other exit statuses.
+TEST_F(command_line, every_subcommand_has_help_and_version)
+{
+    EXPECT_EQ(run("--help").status, 0);
+    EXPECT_EQ(run("--version").output.rfind("chestnutstand ", 0), 0U);
+    for (const std::string name : {"node", "check", "config", "status", "drain"}) {
+        const auto help = run(name + " --help");
+        EXPECT_EQ(help.status, 0) << name;
+        EXPECT_EQ(help.output.rfind("usage: chestnutstand " + name, 0), 0U) << help.output;
+        EXPECT_EQ(run(name + " --version").status, 0) << name;
+    }
+}
+
+// Guards against usage errors that look like failures of the system.
+TEST_F(command_line, usage_errors_exit_with_2)
+{
+    EXPECT_EQ(run("").status, 2);
+    EXPECT_EQ(run("unknown").output,
+              "chestnutstand: unknown subcommand: unknown; see chestnutstand --help\n");
+    EXPECT_EQ(run("check --colour").output,
+              "chestnutstand: unknown option: --colour; see chestnutstand check --help\n");
+    EXPECT_EQ(run("check settings").status, 2);
+    EXPECT_EQ(run("status").output, "chestnutstand: expected --admin URL or --settings FILE\n");
+    EXPECT_EQ(run("status").status, 2);
+    EXPECT_EQ(run("config publish file").status, 2);
+}
+
+// Guards against invalid input that is accepted, or refused without file, key and expected value.
+TEST_F(command_line, check_names_file_key_and_expected_value)
+{
+    const auto settings = write("node.json", R"({"data_centre": "garia", "admin_prot": 1,
+        "log_url": "http://127.0.0.1:1", "cluster_secret": "0123456789abcdef"})");
+    const auto refused = run("check settings " + settings);
+    EXPECT_EQ(refused.status, 3);
+    EXPECT_EQ(refused.output.rfind("chestnutstand: " + settings +
+                                       ": admin_prot: unknown key, expected one of address, ",
+                                   0),
+              0U)
+        << refused.output;
+    const auto valid = write("a.json", R"({"owner": "t", "services": [
+        {"name": "s", "priorities": [{"name": "p"}]}]})");
+    EXPECT_EQ(run("check document " + valid).status, 0);
+    const auto same = write("b.json", R"({"owner": "t", "services": [
+        {"name": "s", "priorities": [{"name": "p"}]}]})");
+    EXPECT_EQ(run("check document " + valid + " " + same).status, 3);
+    EXPECT_EQ(run("check settings " + (directory_ / "missing").string()).status, 1);
+}
+
+// Guards against a node that cannot be reached being reported as success or as wrong usage.
+TEST_F(command_line, unreachable_node_exits_with_1)
+{
+    // Port 1 is reserved and never listens here.
+    const auto result = run("status --admin http://127.0.0.1:1");
+    EXPECT_EQ(result.status, 1);
+    EXPECT_EQ(result.output, "chestnutstand: no answer from the node at http://127.0.0.1:1: "
+                             "connection refused\n");
+}
+
+// Guards against operator commands that do not do what they say on a running node.
+TEST_F(command_line, operates_a_node)
+{
+    fleet all;
+    auto& node = all.add("east", "");
+    const auto admin = " --admin http://127.0.0.1:" + std::to_string(node.admin_port);
+    const auto file = write("main.json", section_content("platform", {"alpha"}));
+    const auto publish = "config publish " + file + admin + " --section main";
+
+    auto result = run(publish + " --team platform --base-version 0");
+    EXPECT_EQ(result.status, 0) << result.output;
+    EXPECT_EQ(result.output, "accepted, version 1\n");
+    result = run(publish + " --team intruders --base-version 1");
+    EXPECT_EQ(result.status, 1);
+    EXPECT_EQ(result.output, "chestnutstand: change rejected: section main is owned by team "
+                             "platform, the change is from team intruders\n");
+    EXPECT_EQ(run("config publish " + write("bad.json", "{}") + admin +
+                  " --section main --team platform --base-version 1")
+                  .status,
+              3);
+
+    result = run("config show --section main" + admin);
+    EXPECT_EQ(result.status, 0);
+    EXPECT_EQ(result.output.rfind("// section main, version 1, owner platform\n", 0), 0U);
+    const auto shown = write("shown.json", result.output);
+    EXPECT_EQ(run("check document " + shown).status, 0);
+    EXPECT_EQ(run("config show --section other" + admin).status, 1);
+
+    const auto status = nlohmann::json::parse(run("status" + admin).output, nullptr, false);
+    EXPECT_EQ(status.value("config_version", 0), 1);
+    EXPECT_EQ(run("drain" + admin).status, 0);
+    EXPECT_EQ(node.node->wait(), 0);
+}
+
+} // namespace
+} // namespace chestnutstand::testing
