Test calls under faults of the links to callers and upstreams

Every fault of the proxy is set between node and upstream and between caller and node; answers must be whole and belong to their call, and what was said not to have run must be missing in the upstream's history.

--- /dev/null
+++ b/benchmarks/carrier_benchmark.cpp
@@ -0,0 +1,166 @@
+// Compares the two carriers of calls between nodes for an echo of 1 KB: gRPC callback unary calls
+// and HTTP/1.1 with Pistache and libcurl. Client and server share one process and talk over
+// loopback.
+
+#include "chestnutstand/transport/http_client.h"
+#include "chestnutstand/transport/http_server.h"
+#include "chestnutstand/transport/node_server.h"
+
+#include <algorithm>
+#include <atomic>
+#include <condition_variable>
+#include <cstdio>
+#include <cstdlib>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+using namespace chestnutstand;
+
+namespace {
+
+constexpr std::size_t body_bytes = 1'024;
+constexpr int warm_up_calls = 500;
+constexpr int measured_calls = 4'000;
+constexpr int rounds = 3;
+constexpr milliseconds call_timeout{10'000};
+constexpr std::uint64_t instance = 1;
+
+class echo_handler final : public node_handler {
+public:
+    void execute(std::uint64_t, call what, call_done done) override
+    {
+        done({outcome::completed, reason::none, {200, {}, std::move(what.request.body)}, {}});
+    }
+    void forward(std::uint64_t, call, bool, call_done done) override
+    {
+        done(not_run(reason::stale_key));
+    }
+    settle_result settle(std::uint64_t, const std::string&) override { return {}; }
+    load_report probe() override { return {}; }
+    void fetch_changes(std::uint64_t, peer_client::changes_done done) override
+    {
+        done(fetched_changes{});
+    }
+    void sync_members(std::vector<std::string> members, peer_client::members_done done) override
+    {
+        done(std::move(members));
+    }
+};
+
+/// Starts one echo and runs the callback with its success.
+using start_echo = std::function<void(std::function<void(bool)>)>;
+
+/// Runs calls, a given number of them at a time, and keeps their latencies.
+class load_run {
+public:
+    load_run(start_echo start, int calls, int concurrent)
+        : start_{std::move(start)}, left_{calls}, running_{concurrent}
+    {
+    }
+
+    std::vector<double> run()
+    {
+        const int concurrent = running_;
+        for (int i = 0; i < concurrent; ++i) {
+            next();
+        }
+        std::unique_lock lock{mutex_};
+        ended_.wait(lock, [&] { return running_ == 0; });
+        std::sort(latencies_.begin(), latencies_.end());
+        return std::move(latencies_);
+    }
+
+private:
+    void next()
+    {
+        {
+            const std::lock_guard lock{mutex_};
+            if (left_ == 0) {
+                --running_;
+                ended_.notify_all();
+                return;
+            }
+            --left_;
+        }
+        const time_point begin = ms_clock::now();
+        start_([this, begin](bool success) {
+            if (!success) {
+                std::fprintf(stderr, "a call failed\n");
+                std::abort();
+            }
+            {
+                const std::lock_guard lock{mutex_};
+                latencies_.push_back((ms_clock::now() - begin).count());
+            }
+            next();
+        });
+    }
+
+    start_echo start_;
+    std::mutex mutex_;
+    std::condition_variable ended_;
+    int left_;
+    int running_;
+    std::vector<double> latencies_;
+};
+
+void measure(const char* carrier, const start_echo& start, int concurrent)
+{
+    load_run{start, warm_up_calls, concurrent}.run();
+    const time_point begin = ms_clock::now();
+    const auto sorted = load_run{start, measured_calls, concurrent}.run();
+    const double seconds = (ms_clock::now() - begin).count() / 1000.0;
+    std::printf("| %-8s | %10d | %8.3f | %8.3f | %9.0f |\n", carrier, concurrent,
+                sorted[sorted.size() / 2], sorted[sorted.size() * 99 / 100],
+                measured_calls / seconds);
+}
+
+} // namespace
+
+int main()
+{
+    echo_handler handler;
+    node_server grpc_server{"127.0.0.1", 0, handler};
+    http_server_options options;
+    options.threads = 2;
+    http_server server{options, [](http_request request, const std::shared_ptr<responder>& to) {
+                           to->send({200, {}, std::move(request.body)});
+                       }};
+    if (!grpc_server.start().ok() || !server.start().ok()) {
+        return EXIT_FAILURE;
+    }
+    const auto peers = make_grpc_peer_client();
+    const auto client = make_http_client();
+    const node_reference target{instance, "127.0.0.1", grpc_server.port()};
+    const std::string url = "http://127.0.0.1:" + std::to_string(server.port());
+    const std::string body(body_bytes, 'x');
+
+    const start_echo by_grpc = [&](const std::function<void(bool)>& done) {
+        call what;
+        what.service = "echo";
+        what.deadline = ms_clock::now() + call_timeout;
+        what.request = {"POST", "/", {}, body, false};
+        peers->execute(target, what, [done](const call_result& result) {
+            done(result.response.body.size() == body_bytes);
+        });
+    };
+    const start_echo by_http = [&](const std::function<void(bool)>& done) {
+        client->send(
+            url, {"POST", "/", {}, body, false}, call_timeout,
+            [done](const http_result& result) { done(result.response.body.size() == body_bytes); });
+    };
+    std::printf("| carrier  | concurrent |  p50, ms |  p99, ms | calls per s |\n");
+    std::printf("| -------- | ---------- | -------- | -------- | ----------- |\n");
+    for (int round = 0; round < rounds; ++round) {
+        for (const int concurrent : {1, 32}) {
+            measure("gRPC", by_grpc, concurrent);
+            measure("HTTP/1.1", by_http, concurrent);
+        }
+    }
+    server.stop();
+    grpc_server.stop(milliseconds{0});
+    return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/tests/integration/link_faults_test.cpp
@@ -0,0 +1,262 @@
+#include "../support/fleet.h"
+#include "../support/proxy.h"
+
+#include "chestnutstand/transport/headers.h"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <cmath>
+#include <cstdio>
+#include <fstream>
+#include <future>
+#include <memory>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace chestnutstand::testing {
+namespace {
+
+constexpr int calls_per_fault = 16;
+constexpr milliseconds call_timeout{1'000};
+constexpr milliseconds register_interval{500};
+
+/// Renews the registration of an upstream under the address of a proxy in front of it.
+class registrar {
+public:
+    registrar(fleet& all, std::uint16_t admin_port, std::uint16_t upstream_port)
+        : thread_{[this, &all, admin_port, upstream_port] {
+              while (!stopping_) {
+                  all.control(admin_port, "/register",
+                              {{"service", "alpha"},
+                               {"address", "127.0.0.1:" + std::to_string(upstream_port)},
+                               {"slots", 100}});
+                  std::this_thread::sleep_for(register_interval);
+              }
+          }}
+    {
+    }
+    registrar(const registrar&) = delete;
+    registrar& operator=(const registrar&) = delete;
+    ~registrar()
+    {
+        stopping_ = true;
+        thread_.join();
+    }
+
+private:
+    std::atomic<bool> stopping_ = false;
+    std::thread thread_;
+};
+
+/// What the calls under one fault ended with.
+struct call_counts {
+    int completed = 0;
+    int not_run = 0;
+    int unknown = 0;
+};
+
+/// One node whose connections to its caller and to its upstream pass through proxies.
+class link_faults_test : public ::testing::Test {
+protected:
+    void SetUp() override
+    {
+        history_ = (all_.directory() / "history").string();
+        node_ = &all_.add("east", "");
+        upstream_ = std::make_unique<process>(
+            STUB_UPSTREAM_PROGRAM, std::vector<std::string>{"--service", "alpha", "--slots", "100",
+                                                            "--history", history_});
+        const auto started =
+            upstream_->wait_for_line([](const auto& fields) { return fields.contains("port"); });
+        ASSERT_TRUE(started);
+        upstream_port_ = (*started)["port"].get<std::uint16_t>();
+        upstream_link_ = std::make_unique<proxy>(upstream_port_);
+        caller_link_ = std::make_unique<proxy>(node_->caller_port);
+        registrar_ = std::make_unique<registrar>(all_, node_->admin_port, upstream_link_->port());
+        const auto verdict = all_.publish(*node_, "platform", "main", 0,
+                                          section_content("platform", {"alpha"}), "change-1");
+        ASSERT_TRUE(verdict.is_object() && verdict.value("accepted", false)) << verdict;
+        ASSERT_TRUE(works_again());
+    }
+
+    void TearDown() override { registrar_.reset(); }
+
+    std::future<http_result> call(const std::string& payload)
+    {
+        auto ended = std::make_shared<std::promise<http_result>>();
+        http_request request{"POST", "/call/alpha/of/" + payload, {}, payload};
+        request.headers.push_back(
+            {std::string{header::timeout_ms}, std::to_string(std::lround(call_timeout.count()))});
+        all_.client().send("http://127.0.0.1:" + std::to_string(caller_link_->port()),
+                           std::move(request), call_timeout * 5,
+                           [ended](http_result result) { ended->set_value(std::move(result)); });
+        return ended->get_future();
+    }
+
+    /// Checks one answer and counts its outcome.
+    void judge(const std::string& payload, const http_result& result, call_counts& counts)
+    {
+        const auto stated = find_header(result.response.headers, header::outcome);
+        if (result.error != http_error::none) {
+            ++counts.unknown;
+            return;
+        }
+        ASSERT_TRUE(stated) << result.response.status << result.response.body;
+        if (*stated == "completed") {
+            ++counts.completed;
+            const auto body = nlohmann::json::parse(result.response.body, nullptr, false);
+            ASSERT_TRUE(body.is_object()) << "not the whole answer: " << result.response.body;
+            EXPECT_EQ(body["echo"], payload) << "the answer to another call";
+            EXPECT_EQ(body["target"], "/of/" + payload);
+        }
+        else if (*stated == "not-run") {
+            ++counts.not_run;
+            not_run_.insert(payload);
+        }
+        else {
+            ++counts.unknown;
+        }
+    }
+
+    call_counts run_calls()
+    {
+        std::vector<std::pair<std::string, std::future<http_result>>> running;
+        for (int i = 0; i < calls_per_fault; ++i) {
+            auto payload = "payload-" + std::to_string(next_payload_++);
+            auto result = call(payload);
+            running.emplace_back(std::move(payload), std::move(result));
+        }
+        call_counts counts;
+        for (auto& [payload, result] : running) {
+            judge(payload, result.get(), counts);
+        }
+        return counts;
+    }
+
+    bool works_again()
+    {
+        return eventually([&] {
+            const auto result = call("check").get();
+            return result.error == http_error::none && result.response.status == 200;
+        });
+    }
+
+    /// Payloads that the upstream executed.
+    std::set<std::string> executed() const
+    {
+        std::set<std::string> payloads;
+        std::ifstream lines{history_};
+        for (std::string line; std::getline(lines, line);) {
+            payloads.insert(nlohmann::json::parse(line)["request"].get<std::string>());
+        }
+        return payloads;
+    }
+
+    void check_faults(proxy& link, const std::vector<nlohmann::json>& faults)
+    {
+        for (const auto& fault : faults) {
+            SCOPED_TRACE(fault.dump());
+            ASSERT_TRUE(link.set(fault));
+            const auto counts = run_calls();
+            ASSERT_TRUE(link.set({{"mode", "pass"}}));
+            EXPECT_TRUE(works_again());
+            std::printf("%-55s completed %d, not-run %d, unknown %d\n", fault.dump().c_str(),
+                        counts.completed, counts.not_run, counts.unknown);
+        }
+        const auto ran = executed();
+        for (const auto& payload : not_run_) {
+            EXPECT_EQ(ran.count(payload), 0U) << payload << " was said not to have run";
+        }
+    }
+
+    fleet all_;
+    std::string history_;
+    fleet_member* node_ = nullptr;
+    std::unique_ptr<process> upstream_;
+    std::uint16_t upstream_port_ = 0;
+    std::unique_ptr<proxy> upstream_link_;
+    std::unique_ptr<proxy> caller_link_;
+    std::unique_ptr<registrar> registrar_;
+    std::set<std::string> not_run_;
+    int next_payload_ = 0;
+};
+
+std::vector<nlohmann::json> all_faults()
+{
+    return {{{"mode", "pass"}},
+            {{"mode", "cut"}},
+            {{"mode", "delay"}, {"delay_ms", 50}},
+            {{"mode", "freeze"}},
+            {{"mode", "freeze"}, {"direction", "request"}},
+            {{"mode", "freeze"}, {"direction", "response"}},
+            {{"mode", "drop_response"}},
+            {{"mode", "truncate"}, {"bytes", 30}},
+            {{"mode", "truncate"}, {"bytes", 150}},
+            {{"mode", "truncate"}, {"bytes", 250}}};
+}
+
+// Guards against answers that are cut, belong to another call or claim not-run for a call that ran,
+// when the connections between node and upstream are faulty.
+TEST_F(link_faults_test, between_node_and_upstream)
+{
+    auto faults = all_faults();
+    faults.push_back({{"mode", "cross"}});
+    check_faults(*upstream_link_, faults);
+}
+
+// The same for the connections between caller and node. Swapped answers are left out: a caller that
+// is given another caller's bytes cannot be told so by the node.
+TEST_F(link_faults_test, between_caller_and_node)
+{
+    check_faults(*caller_link_, all_faults());
+}
+
+struct malformed_input {
+    const char* what;
+    std::vector<http_header> headers;
+    std::string target;
+    int status;
+};
+
+// Guards against invalid calls that reach an upstream or get an unclear refusal.
+TEST_F(link_faults_test, invalid_calls_reach_no_upstream)
+{
+    const auto attempts = [&] {
+        return nlohmann::json::parse(
+                   exchange(all_.client(), upstream_port_, {"GET", "/counters", {}, ""})
+                       .response.body)["attempts"]
+            .get<int>();
+    };
+    const int before = attempts();
+    const std::vector<malformed_input> inputs{
+        {"unknown service", {}, "/call/nobody/x", 404},
+        {"no service", {}, "/call/", 400},
+        {"other path", {}, "/nothing", 400},
+        {"unknown class", {{"Chestnut-Priority", "none"}}, "/call/alpha/x", 400},
+        {"timeout 0", {{"Chestnut-Timeout-Ms", "0"}}, "/call/alpha/x", 400},
+        {"negative timeout", {{"Chestnut-Timeout-Ms", "-1"}}, "/call/alpha/x", 400},
+        {"long timeout", {{"Chestnut-Timeout-Ms", "600001"}}, "/call/alpha/x", 400},
+        {"timeout text", {{"Chestnut-Timeout-Ms", "1s"}}, "/call/alpha/x", 400},
+        {"depth", {{"Chestnut-Depth", "26"}}, "/call/alpha/x", 400},
+        {"budget", {{"Chestnut-Retry-Budget", "x"}}, "/call/alpha/x", 400},
+        {"no key", {{"Chestnut-Priority", "write"}}, "/call/alpha/x", 428},
+        {"large header", {{"X", std::string(17'000, 'x')}}, "/call/alpha/x", 431},
+    };
+    for (const auto& each : inputs) {
+        const auto result =
+            exchange(all_.client(), node_->caller_port, {"POST", each.target, each.headers, "x"});
+        EXPECT_EQ(result.response.status, each.status) << each.what << result.response.body;
+        EXPECT_EQ(find_header(result.response.headers, "content-type"), "application/problem+json");
+        EXPECT_TRUE(find_header(result.response.headers, header::outcome)) << each.what;
+        EXPECT_TRUE(find_header(result.response.headers, header::reason)) << each.what;
+    }
+    const auto large = exchange(all_.client(), node_->caller_port,
+                                {"POST", "/call/alpha/x", {}, std::string(1'048'577, 'x')});
+    EXPECT_EQ(large.response.status, 413);
+    EXPECT_EQ(attempts(), before);
+}
+
+} // namespace
+} // namespace chestnutstand::testing
