--- a/benchmarks/path_benchmark.cpp
+++ b/benchmarks/path_benchmark.cpp
@@ -79,8 +79,8 @@
 }
 
 /// Sends path and direct calls in turn, each kind at the rate.
-void run_rate(http_client& client, const fleet_member& entry, std::uint16_t upstream_port, int rate,
-              double seconds, samples& path, samples& direct)
+void run_rate(http_client& path_client, http_client& direct_client, const fleet_member& entry,
+              std::uint16_t upstream_port, int rate, double seconds, samples& path, samples& direct)
 {
     const auto calls = static_cast<std::size_t>(rate * seconds);
     const milliseconds interval{1000.0 / rate / 2.0};
@@ -92,9 +92,9 @@
         }
     };
     for (std::size_t i = 0; i < calls; ++i) {
-        send_call(client, entry.caller_port, "/call/alpha/x", path);
+        send_call(path_client, entry.caller_port, "/call/alpha/x", path);
         wait_for_turn();
-        send_call(client, upstream_port, "/x", direct);
+        send_call(direct_client, upstream_port, "/x", direct);
         wait_for_turn();
     }
     eventually([&] { return path.count() >= calls && direct.count() >= calls; });
@@ -156,6 +156,8 @@
         std::fprintf(stderr, "the nodes did not become ready\n");
         return EXIT_FAILURE;
     }
+    // One client each, so that the slower kind of call does not hold up the other.
+    const auto direct_client = make_http_client();
     const std::vector<pid_t> nodes{entry.node->pid(), server.node->pid()};
     print_idle(nodes);
     std::printf(
@@ -167,11 +169,12 @@
     for (const int rate : rates_per_s) {
         samples warm_path;
         samples warm_direct;
-        run_rate(all.client(), entry, server.upstream_port, rate, warm_up_s, warm_path,
-                 warm_direct);
+        run_rate(all.client(), *direct_client, entry, server.upstream_port, rate, warm_up_s,
+                 warm_path, warm_direct);
         samples path;
         samples direct;
-        run_rate(all.client(), entry, server.upstream_port, rate, seconds_per_rate, path, direct);
+        run_rate(all.client(), *direct_client, entry, server.upstream_port, rate, seconds_per_rate,
+                 path, direct);
         const double direct_50 = direct.quantile(0.5);
         const double direct_99 = direct.quantile(0.99);
         const double path_50 = path.quantile(0.5);
@@ -181,6 +184,12 @@
                     path_99 - direct_99, path.failed() + direct.failed());
         std::fflush(stdout);
     }
+    for (const auto& member : all.members()) {
+        if (!member->node->running()) {
+            std::fprintf(stderr, "a node ended with status %d\n", member->node->wait());
+            return EXIT_FAILURE;
+        }
+    }
     print_idle(nodes);
     return EXIT_SUCCESS;
 }
