--- a/lib/transport/pistache_server.cpp
+++ b/lib/transport/pistache_server.cpp
@@ -131,7 +131,7 @@
     void advance(connection& client);
     bool handle_next(connection& client);
     void refuse(connection& client, const request_refusal& why);
-    void deliver(response_queue::entry ready);
+    void deliver(const response_queue::entry& ready);
     void write(connection& client, std::string bytes);
     void written(std::size_t id, bool whole);
     void wait_for_client(connection& client);
@@ -197,8 +197,8 @@
         check_deadlines();
     }
     for (auto entries = queue_->take(); !entries.empty(); entries = queue_->take()) {
-        for (auto& entry : entries) {
-            deliver(std::move(entry));
+        for (const auto& entry : entries) {
+            deliver(entry);
         }
     }
     close_doomed();
@@ -303,7 +303,7 @@
     write(client, serialize(response, false, true));
 }
 
-void server_transport::deliver(response_queue::entry ready)
+void server_transport::deliver(const response_queue::entry& ready)
 {
     const auto found = connections_.find(ready.slot->connection());
     if (found == connections_.end() || found->second.slot != ready.slot) {
@@ -323,7 +323,7 @@
     client.deadline = ms_clock::now() + shared_->options.request_timeout;
     client.peer->send(Pistache::RawBuffer{std::move(bytes), size}, MSG_NOSIGNAL)
         .then([this, id](ssize_t) { written(id, true); },
-              [this, id](std::exception_ptr) { written(id, false); });
+              [this, id](const std::exception_ptr&) { written(id, false); });
     // Writes at once, while the descriptor is known to belong to this connection.
     flush();
     if (client.writing && client.deadline) {
