--- a/benchmarks/carrier_benchmark.cpp
+++ b/benchmarks/carrier_benchmark.cpp
@@ -38,7 +38,10 @@
     {
         done(not_run(reason::stale_key));
     }
-    settle_result settle(std::uint64_t, const std::string&) override { return {}; }
+    absl::StatusOr<settle_result> settle(std::uint64_t, const std::string&) override
+    {
+        return settle_result{};
+    }
     load_report probe() override { return {}; }
     void fetch_changes(std::uint64_t, peer_client::changes_done done) override
     {
--- a/benchmarks/path_benchmark.cpp
+++ b/benchmarks/path_benchmark.cpp
@@ -131,6 +131,7 @@
 void print_idle(const std::vector<pid_t>& nodes)
 {
     std::vector<double> before;
+    before.reserve(nodes.size());
     for (const pid_t pid : nodes) {
         before.push_back(cpu_seconds(pid));
     }
--- a/unittests/transport/http_client_test.cpp
+++ b/unittests/transport/http_client_test.cpp
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <atomic>
 #include <functional>
 #include <future>
@@ -24,6 +25,16 @@
     return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+std::string repeated(const std::string& text, std::size_t times)
+{
+    std::string result;
+    result.reserve(text.size() * times);
+    for (std::size_t i = 0; i < times; ++i) {
+        result += text;
+    }
+    return result;
+}
+
 /// Server whose test decides what each connection does with each request it receives.
 class fake_server {
 public:
@@ -133,7 +144,7 @@
     EXPECT_EQ(error_after("HTTP/1.1 204 No Content\r\nX-Whole: a\r\n"), http_error::truncated);
     EXPECT_EQ(error_after(""), http_error::connection_lost);
     EXPECT_EQ(error_after("HTTP/1.1 200 OK\r\nContent-Length: 9000000\r\n\r\n" +
-                          std::string(9'000'000, 'x')),
+                          repeated("x", 9'000'000)),
               http_error::too_large);
 }
 
@@ -236,6 +247,7 @@
                      [ended](http_result result) { ended->set_value(std::move(result)); });
     }
     std::vector<std::string> bodies;
+    bodies.reserve(ends.size());
     for (auto& each : ends) {
         bodies.push_back(each.get().response.body);
     }
--- a/unittests/transport/http_server_test.cpp
+++ b/unittests/transport/http_server_test.cpp
@@ -29,7 +29,8 @@
     void start()
     {
         server_ = std::make_unique<http_server>(
-            options_, [this](http_request request, const std::shared_ptr<responder>& response) {
+            options_,
+            [this](const http_request& request, const std::shared_ptr<responder>& response) {
                 ++handled_;
                 {
                     const std::lock_guard lock{mutex_};
--- a/unittests/transport/node_server_test.cpp
+++ b/unittests/transport/node_server_test.cpp
@@ -4,12 +4,13 @@
 
 #include <gtest/gtest.h>
 
-#include <csignal>
+#include <atomic>
 #include <future>
 #include <memory>
 #include <mutex>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace chestnutstand {
 namespace {
@@ -41,7 +42,7 @@
     {
         done(not_run(reason::stale_key));
     }
-    settle_result settle(std::uint64_t, const std::string& key) override
+    absl::StatusOr<settle_result> settle(std::uint64_t, const std::string& key) override
     {
         settle_result result;
         result.state = settle_state::completed;
@@ -101,7 +102,7 @@
                                  const call& what)
 {
     auto ended = std::make_shared<std::promise<call_result>>();
-    client.execute(target, what, [ended](call_result result) { ended->set_value(result); });
+    client.execute(target, what, [ended](const call_result& result) { ended->set_value(result); });
     return ended->get_future();
 }
 
