--- a/unittests/transport/node_server_test.cpp
+++ b/unittests/transport/node_server_test.cpp
@@ -5,12 +5,13 @@
 #include <absl/status/statusor.h>
 #include <gtest/gtest.h>
 
-#include <csignal>
+#include <atomic>
 #include <future>
 #include <memory>
 #include <mutex>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace chestnutstand {
 namespace {
@@ -102,7 +103,7 @@
                                  const call& what)
 {
     auto ended = std::make_shared<std::promise<call_result>>();
-    client.execute(target, what, [ended](call_result result) { ended->set_value(result); });
+    client.execute(target, what, [ended](const call_result& result) { ended->set_value(result); });
     return ended->get_future();
 }
 
