--- a/benchmarks/overload_benchmark.cpp
+++ b/benchmarks/overload_benchmark.cpp
@@ -89,10 +89,10 @@
     {
         auto& queue = queues_[std::min(priority, queues_.size() - 1)];
         if (queue.size() >= bound_) {
-            return {admission::refused, reason::queue_full};
+            return {offer_state::refused, reason::queue_full};
         }
         queue.push_back({id, now, deadline});
-        return {admission::queued, reason::none};
+        return {offer_state::queued, reason::none};
     }
 
     std::optional<queue_decision> next(time_point now) override
@@ -209,10 +209,10 @@
         requests_[id] = what;
         results_[priority].offered += counted(what) ? 1 : 0;
         const auto offered = queue_.offer(id, priority, what.deadline, now_);
-        if (offered.result == admission::refused) {
+        if (offered.result == offer_state::refused) {
             refuse(id, offered.why);
         }
-        else if (offered.result == admission::admitted) {
+        else if (offered.result == offer_state::admitted) {
             start(id);
         }
     }
--- a/include/chestnutstand/node/executor.h
+++ b/include/chestnutstand/node/executor.h
@@ -3,6 +3,7 @@
 #include "chestnutstand/admission/admission_queue.h"
 #include "chestnutstand/admission/load_prober.h"
 #include "chestnutstand/config/document.h"
+#include "chestnutstand/keys/executor_keys.h"
 #include "chestnutstand/support/metrics.h"
 #include "chestnutstand/transport/http_client.h"
 
@@ -35,7 +36,7 @@
     /// The document in force, or null.
     using configuration_source = std::function<std::shared_ptr<const document>()>;
 
-    executor(std::uint64_t instance, http_client& client, metrics& stats,
+    executor(std::uint64_t instance, http_client& client, metrics& stats, executor_keys& keys,
              configuration_source configuration);
 
     /// Sets or removes the upstream; calls that run on the old one go on, queued ones are refused
@@ -61,6 +62,8 @@
     struct execution {
         std::uint64_t id = 0;
         call what;
+        /// Set for a call with a key, whose callbacks the key table keeps.
+        std::optional<key_id> key;
         call_done done;
         std::string base_url;
         bool started = false;
@@ -70,6 +73,7 @@
     using execution_ptr = std::shared_ptr<execution>;
 
     struct refused_call {
+        std::optional<key_id> key;
         call_done done;
         reason why = reason::none;
         load_report load;
@@ -86,7 +90,10 @@
     void apply_configuration(time_point now);
     std::optional<reason> refusal(std::uint64_t target_instance, const call& what,
                                   time_point now) const;
-    void admit(call what, const call_done& done, time_point now, follow_up& next);
+    void offer(std::uint64_t target_instance, call what, const std::optional<key_id>& key,
+               const call_done& done);
+    void admit(call what, const std::optional<key_id>& key, const call_done& done, time_point now,
+               follow_up& next);
     void take_decisions(time_point now, follow_up& next);
     bool commit_to_start(execution& what);
     void start(const execution_ptr& what, time_point now, follow_up& next);
@@ -100,6 +107,7 @@
     const std::uint64_t instance_;
     http_client& client_;
     metrics& stats_;
+    executor_keys& keys_;
     const configuration_source configuration_;
     load_prober prober_;
     mutable std::mutex mutex_;
--- a/lib/node/executor.cpp
+++ b/lib/node/executor.cpp
@@ -40,9 +40,9 @@
 
 } // namespace
 
-executor::executor(std::uint64_t instance, http_client& client, metrics& stats,
+executor::executor(std::uint64_t instance, http_client& client, metrics& stats, executor_keys& keys,
                    configuration_source configuration)
-    : instance_{instance}, client_{client}, stats_{stats},
+    : instance_{instance}, client_{client}, stats_{stats}, keys_{keys},
       configuration_{std::move(configuration)}, prober_{client, 0.0, ms_clock::now()}
 {
 }
@@ -130,6 +130,33 @@
 }
 
 void executor::execute(std::uint64_t target_instance, call what, const call_done& done)
+{
+    if (what.idempotency_key.empty()) {
+        offer(target_instance, std::move(what), std::nullopt, done);
+        return;
+    }
+    if (target_instance != instance_) {
+        follow_up next;
+        next.refusals.push_back({std::nullopt, done, reason::wrong_instance, report()});
+        run(std::move(next));
+        return;
+    }
+    auto decision = keys_.enqueue(what.idempotency_key, request_fingerprint(what.request), done,
+                                  ms_clock::now());
+    if (decision.what == execution_decision::kind::answered) {
+        decision.result.load = report();
+        done(std::move(decision.result));
+    }
+    else if (decision.what == execution_decision::kind::run) {
+        offer(target_instance, std::move(what), decision.id,
+              [this, id = decision.id](call_result result) {
+                  keys_.finish(id, std::move(result), ms_clock::now());
+              });
+    }
+}
+
+void executor::offer(std::uint64_t target_instance, call what, const std::optional<key_id>& key,
+                     const call_done& done)
 {
     const auto now = ms_clock::now();
     follow_up next;
@@ -137,35 +164,35 @@
         const std::lock_guard lock{mutex_};
         apply_configuration(now);
         if (const auto why = refusal(target_instance, what, now)) {
-            next.refusals.push_back({done, *why, report_locked()});
+            next.refusals.push_back({key, done, *why, report_locked()});
         }
         else {
-            admit(std::move(what), done, now, next);
+            admit(std::move(what), key, done, now, next);
         }
     }
     run(std::move(next));
 }
 
-void executor::admit(call what, const call_done& done, time_point now, follow_up& next)
+void executor::admit(call what, const std::optional<key_id>& key, const call_done& done,
+                     time_point now, follow_up& next)
 {
     const auto id = ++last_id_;
     const auto priority = queue_->find_priority(what.priority).value();
     const auto offered = queue_->offer(id, priority, what.deadline, now);
-    if (offered.result == admission::refused) {
-        next.refusals.push_back({done, offered.why, report_locked()});
+    if (offered.result == offer_state::refused) {
+        next.refusals.push_back({key, done, offered.why, report_locked()});
         return;
     }
     auto admitted = std::make_shared<execution>();
     admitted->id = id;
     admitted->what = std::move(what);
+    admitted->key = key;
     admitted->done = done;
     executions_[id] = admitted;
-    if (offered.result == admission::admitted) {
+    if (offered.result == offer_state::admitted) {
         start(admitted, now, next);
     }
-    else {
-        take_decisions(now, next);
-    }
+    take_decisions(now, next);
     next.admitted = admitted;
 }
 
@@ -182,7 +209,7 @@
             continue;
         }
         executions_.erase(found);
-        next.refusals.push_back({what->done, decision->refusal, report_locked()});
+        next.refusals.push_back({what->key, what->done, decision->refusal, report_locked()});
     }
 }
 
@@ -200,6 +227,10 @@
 /// started one; after this it can no longer be refused. False drops the call without an answer.
 bool executor::commit_to_start(execution& what)
 {
+    // No fence can come between this check of a key and the decision to send.
+    if (what.key && !keys_.start(*what.key)) {
+        return false;
+    }
     what.base_url = upstream_->base_url;
     what.started = true;
     return true;
@@ -213,7 +244,7 @@
             ++at;
             continue;
         }
-        next.refusals.push_back({what.done, why, report_locked()});
+        next.refusals.push_back({what.key, what.done, why, report_locked()});
         at = executions_.erase(at);
     }
 }
@@ -225,6 +256,10 @@
     }
     for (auto& each : next.refusals) {
         stats_.count(reason_event::refused, each.why);
+        if (each.key) {
+            keys_.refuse(*each.key, each.why, ms_clock::now());
+            continue;
+        }
         each.done(refused(each.why, std::move(each.load)));
     }
     if (next.admitted && next.admitted->what.cancel) {
@@ -264,7 +299,8 @@
         if (!what->started) {
             if (executions_.erase(what->id) > 0) {
                 queue_->remove(what->id);
-                next.refusals.push_back({what->done, reason::caller_gone, report_locked()});
+                next.refusals.push_back(
+                    {what->key, what->done, reason::caller_gone, report_locked()});
             }
         }
         else if (what->what.idempotency_key.empty()) {
--- a/unittests/admission/admission_properties_test.cpp
+++ b/unittests/admission/admission_properties_test.cpp
@@ -98,15 +98,15 @@
         const auto priority = *rc::gen::inRange<std::size_t>(0, service.priorities.size());
         const milliseconds timeout{*rc::gen::inRange(1, 3000) * 1.0};
         const auto result = queue.offer(id, priority, now + timeout, now);
-        RC_ASSERT((result.result == admission::refused) == (result.why != reason::none));
+        RC_ASSERT((result.result == offer_state::refused) == (result.why != reason::none));
         switch (result.result) {
-        case admission::admitted:
+        case offer_state::admitted:
             start(id);
             break;
-        case admission::queued:
+        case offer_state::queued:
             waiting.insert(id);
             break;
-        case admission::refused:
+        case offer_state::refused:
             end(id);
         }
     }
@@ -226,10 +226,10 @@
             class_of_[++last_id_] = priority;
             const auto deadline = now_ + milliseconds{1e9};
             const auto result = queue_.offer(last_id_, priority, deadline, now_).result;
-            if (result == admission::refused) {
+            if (result == offer_state::refused) {
                 return;
             }
-            if (result == admission::admitted) {
+            if (result == offer_state::admitted) {
                 start(last_id_);
             }
         }
@@ -310,7 +310,7 @@
             for (const bool batch : {false, false, true}) {
                 is_batch[++id] = batch;
                 const auto deadline = now + milliseconds{batch ? 25.0 : 200.0};
-                if (queue.offer(id, batch ? 1 : 0, deadline, now).result == admission::admitted) {
+                if (queue.offer(id, batch ? 1 : 0, deadline, now).result == offer_state::admitted) {
                     start(id);
                 }
             }
--- a/unittests/admission/admission_queue_test.cpp
+++ b/unittests/admission/admission_queue_test.cpp
@@ -27,7 +27,7 @@
 protected:
     void elapse(double ms) { now_ += milliseconds{ms}; }
 
-    admission offer(std::size_t priority, double timeout_ms = 60'000)
+    offer_state offer(std::size_t priority, double timeout_ms = 60'000)
     {
         last_offer_ = queue_.offer(++last_id_, priority, now_ + milliseconds{timeout_ms}, now_);
         return last_offer_.result;
@@ -37,7 +37,7 @@
     void fill_slots(std::size_t priority)
     {
         for (std::uint32_t i = 0; i < slots; ++i) {
-            ASSERT_EQ(offer(priority), admission::admitted);
+            ASSERT_EQ(offer(priority), offer_state::admitted);
         }
     }
 
@@ -45,7 +45,7 @@
     void measure(std::size_t priority, double service_ms, int count)
     {
         for (int i = 0; i < count; ++i) {
-            ASSERT_EQ(offer(priority), admission::admitted);
+            ASSERT_EQ(offer(priority), offer_state::admitted);
             elapse(service_ms);
             queue_.finish(last_id_, {sample_kind::completed, milliseconds{service_ms}}, now_);
         }
@@ -77,16 +77,16 @@
 TEST_F(admission_queue_test, refuses_on_arrival_what_cannot_meet_its_deadline)
 {
     measure(normal, 40, 20);
-    EXPECT_EQ(offer(normal, 30), admission::refused);
+    EXPECT_EQ(offer(normal, 30), offer_state::refused);
     EXPECT_EQ(last_offer_.why, reason::deadline_unmeetable);
     fill_slots(normal);
     for (int i = 0; i < 8; ++i) {
-        EXPECT_EQ(offer(normal), admission::queued);
+        EXPECT_EQ(offer(normal), offer_state::queued);
     }
     // Two rounds of four requests of 40 ms are ahead.
-    EXPECT_EQ(offer(normal, 100), admission::refused);
+    EXPECT_EQ(offer(normal, 100), offer_state::refused);
     EXPECT_EQ(last_offer_.why, reason::deadline_unmeetable);
-    EXPECT_EQ(offer(normal, 200), admission::queued);
+    EXPECT_EQ(offer(normal, 200), offer_state::queued);
 }
 
 // Guards against an upstream that stays cut off after it was slow, because refusing everything also
@@ -97,7 +97,7 @@
     int refused = 0;
     for (int attempt = 0; attempt < 100; ++attempt) {
         elapse(100);
-        if (offer(normal, 500) == admission::refused) {
+        if (offer(normal, 500) == offer_state::refused) {
             ++refused;
             continue;
         }
@@ -106,7 +106,7 @@
     }
     EXPECT_GT(refused, 0);
     EXPECT_LT(refused, 50);
-    EXPECT_EQ(offer(normal, 500), admission::admitted);
+    EXPECT_EQ(offer(normal, 500), offer_state::admitted);
 }
 
 // Guards against admitting without bound before the first measurement.
@@ -114,7 +114,7 @@
 {
     fill_slots(urgent);
     int queued = 0;
-    while (queued < 1000 && offer(urgent, 500) == admission::queued) {
+    while (queued < 1000 && offer(urgent, 500) == offer_state::queued) {
         ++queued;
     }
     EXPECT_GT(queued, 0);
@@ -128,18 +128,18 @@
     fill_slots(batch);
     const auto bound = three_classes().queue_limit_per_priority;
     for (std::uint32_t i = 0; i < bound; ++i) {
-        ASSERT_EQ(offer(batch, 600'000), admission::queued);
+        ASSERT_EQ(offer(batch, 600'000), offer_state::queued);
     }
-    EXPECT_EQ(offer(batch, 600'000), admission::refused);
+    EXPECT_EQ(offer(batch, 600'000), offer_state::refused);
     EXPECT_EQ(last_offer_.why, reason::queue_full);
-    EXPECT_EQ(offer(urgent), admission::queued);
+    EXPECT_EQ(offer(urgent), offer_state::queued);
 }
 
 // Guards against queued requests that wait for ever while the upstream hangs.
 TEST_F(admission_queue_test, refuses_queued_requests_at_their_deadline)
 {
     fill_slots(urgent);
-    ASSERT_EQ(offer(urgent, 400), admission::queued);
+    ASSERT_EQ(offer(urgent, 400), offer_state::queued);
     EXPECT_FALSE(queue_.next(now_));
     elapse(401);
     const auto decision = queue_.next(now_);
@@ -153,10 +153,10 @@
 TEST_F(admission_queue_test, drops_late_requests_of_a_standing_queue)
 {
     fill_slots(urgent);
-    ASSERT_EQ(offer(urgent), admission::queued);
+    ASSERT_EQ(offer(urgent), offer_state::queued);
     const auto late = last_id_;
     elapse(101);
-    ASSERT_EQ(offer(urgent), admission::queued);
+    ASSERT_EQ(offer(urgent), offer_state::queued);
     const auto in_time = last_id_;
     queue_.finish(1, no_information, now_);
     const auto first = queue_.next(now_).value();
@@ -172,10 +172,10 @@
 TEST_F(admission_queue_test, serves_late_requests_of_a_burst_after_those_in_time)
 {
     fill_slots(urgent);
-    ASSERT_EQ(offer(urgent), admission::queued);
+    ASSERT_EQ(offer(urgent), offer_state::queued);
     const auto late = last_id_;
     elapse(60);
-    ASSERT_EQ(offer(urgent), admission::queued);
+    ASSERT_EQ(offer(urgent), offer_state::queued);
     const auto in_time = last_id_;
     queue_.finish(1, no_information, now_);
     EXPECT_EQ(queue_.next(now_).value().id, in_time);
@@ -192,18 +192,18 @@
     measure(urgent, 5, 5);
     measure(batch, 500, 5);
     for (std::uint32_t i = 0; i + 1 < slots; ++i) {
-        EXPECT_EQ(offer(batch), admission::admitted);
+        EXPECT_EQ(offer(batch), offer_state::admitted);
     }
-    EXPECT_EQ(offer(batch), admission::queued);
+    EXPECT_EQ(offer(batch), offer_state::queued);
     EXPECT_FALSE(queue_.next(now_));
-    EXPECT_EQ(offer(urgent), admission::admitted);
+    EXPECT_EQ(offer(urgent), offer_state::admitted);
     for (std::uint64_t id = 1; id <= last_id_; ++id) {
         queue_.finish(id, no_information, now_);
     }
     ASSERT_TRUE(queue_.next(now_).value().starts());
     elapse(11'000);
     for (std::uint32_t i = 1; i < slots; ++i) {
-        EXPECT_EQ(offer(batch), admission::admitted);
+        EXPECT_EQ(offer(batch), offer_state::admitted);
     }
 }
 
@@ -213,7 +213,7 @@
     measure(urgent, 5, 5);
     measure(batch, 5, 20);
     for (std::uint32_t i = 0; i < slots; ++i) {
-        EXPECT_EQ(offer(batch), admission::admitted);
+        EXPECT_EQ(offer(batch), offer_state::admitted);
     }
 }
 
@@ -222,7 +222,7 @@
 TEST_F(admission_queue_test, removes_only_queued_requests)
 {
     fill_slots(urgent);
-    ASSERT_EQ(offer(urgent), admission::queued);
+    ASSERT_EQ(offer(urgent), offer_state::queued);
     EXPECT_FALSE(queue_.remove(1));
     EXPECT_TRUE(queue_.remove(last_id_));
     EXPECT_FALSE(queue_.remove(last_id_));
@@ -255,10 +255,10 @@
 TEST_F(admission_queue_test, drains)
 {
     fill_slots(urgent);
-    ASSERT_EQ(offer(urgent), admission::queued);
+    ASSERT_EQ(offer(urgent), offer_state::queued);
     const auto queued = last_id_;
     queue_.drain();
-    EXPECT_EQ(offer(urgent), admission::refused);
+    EXPECT_EQ(offer(urgent), offer_state::refused);
     EXPECT_EQ(last_offer_.why, reason::draining);
     EXPECT_TRUE(queue_.report().draining);
     queue_.finish(1, no_information, now_);
--- a/unittests/node/executor_test.cpp
+++ b/unittests/node/executor_test.cpp
@@ -1,5 +1,6 @@
 #include "chestnutstand/node/executor.h"
 
+#include "chestnutstand/keys/idempotency_key.h"
 #include "chestnutstand/transport/headers.h"
 
 #include <gtest/gtest.h>
@@ -93,7 +94,8 @@
     fake_upstream upstream_;
     metrics stats_;
     std::shared_ptr<const document> document_ = make_document();
-    executor node_{own_instance, upstream_, stats_, [this] { return document_; }};
+    executor_keys keys_{own_instance, "secret", {}};
+    executor node_{own_instance, upstream_, stats_, keys_, [this] { return document_; }};
     std::map<int, call_result> results_;
     int last_call_ = 0;
 };
@@ -142,7 +144,8 @@
     call plain;
     plain.cancel = std::make_shared<cancellation>();
     call keyed = plain;
-    keyed.idempotency_key = "key";
+    keyed.idempotency_key =
+        encode({{1, "a", 1}, {{own_instance, "b", 2}}, 1, milliseconds{0}, "ledger"}, "secret");
     const int first = execute(plain);
     const int second = execute(keyed);
     plain.cancel->cancel();
@@ -205,7 +208,7 @@
     EXPECT_EQ(why(unknown), reason::unknown_priority);
     EXPECT_EQ(results_.at(unknown).load.value().limit, 2U);
     EXPECT_EQ(why(execute({}, own_instance + 1)), reason::wrong_instance);
-    executor without{own_instance, upstream_, stats_, [] { return nullptr; }};
+    executor without{own_instance, upstream_, stats_, keys_, [] { return nullptr; }};
     without.set_upstream(local_upstream{"ledger", "http://127.0.0.1:1", 2});
     call what;
     what.service = "ledger";
