--- a/include/chestnutstand/admission/admission_queue.h
+++ b/include/chestnutstand/admission/admission_queue.h
@@ -18,14 +18,14 @@
 
 namespace chestnutstand {
 
-enum class admission : std::uint8_t {
+enum class offer_state : std::uint8_t {
     admitted, ///< Runs now; the caller of offer() sends it to the upstream.
     queued,   ///< next() will hand it out, to start or to refuse.
     refused,
 };
 
 struct offer_result {
-    admission result = admission::refused;
+    offer_state result = offer_state::refused;
     reason why = reason::none;
 };
 
--- a/lib/admission/admission_queue.cpp
+++ b/lib/admission/admission_queue.cpp
@@ -55,7 +55,7 @@
                                     time_point now)
 {
     if (const auto why = refusal_of(id, priority, deadline, now); why != reason::none) {
-        return {admission::refused, why};
+        return {offer_state::refused, why};
     }
     auto& queue = classes_[priority];
     queue.arrivals().add(now);
@@ -64,9 +64,9 @@
     queued_[id] = priority;
     if (queue.size() == 1 && pick(now) == priority) {
         start_next_of(priority, now);
-        return {admission::admitted, reason::none};
+        return {offer_state::admitted, reason::none};
     }
-    return {admission::queued, reason::none};
+    return {offer_state::queued, reason::none};
 }
 
 reason admission_queue::refusal_of(std::uint64_t id, std::size_t priority, time_point deadline,
--- a/lib/node/executor.cpp
+++ b/lib/node/executor.cpp
@@ -178,17 +178,15 @@
 {
     const auto priority = queue_->find_priority(what->what.priority).value();
     const auto offered = queue_->offer(what->id, priority, what->what.deadline, now);
-    if (offered.result == admission::refused) {
+    if (offered.result == offer_state::refused) {
         next.refusals.push_back({what->done, what->key, offered.why, report_locked()});
         return;
     }
     executions_[what->id] = what;
-    if (offered.result == admission::admitted) {
+    if (offered.result == offer_state::admitted) {
         start(what, now, next);
     }
-    else {
-        take_decisions(now, next);
-    }
+    take_decisions(now, next);
     next.admitted = std::move(what);
 }
 
