--- a/tests/integration/node_failure_test.cpp
+++ b/tests/integration/node_failure_test.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr milliseconds gossip_limit{60'000};
+constexpr std::size_t caller_count = 6;
 
 class node_failure : public ::testing::Test {
 protected:
@@ -125,11 +126,13 @@
     ASSERT_TRUE(all_.control(node(1).upstream_port, "/behaviour", {{"service_ms", 300}}));
     ASSERT_TRUE(all_.control(node(0).upstream_port, "/behaviour", {{"service_ms", 50}}));
     ASSERT_TRUE(is_reached(node(0), node(1)));
+    const std::uint64_t before = executions(node(0)) + executions(node(1));
     std::atomic<bool> stop{false};
     std::atomic<int> completed{0};
     std::atomic<int> other{0};
     std::vector<std::thread> callers;
-    for (int i = 0; i < 6; ++i) {
+    callers.reserve(caller_count);
+    for (std::size_t i = 0; i < caller_count; ++i) {
         callers.emplace_back([&] {
             while (!stop) {
                 const auto result = call(node(0));
@@ -150,6 +153,9 @@
     EXPECT_EQ(node(1).node->wait(), 0);
     EXPECT_GT(completed, 0);
     EXPECT_EQ(other, 0);
+    // An aborted call of this idempotent class would have been retried and run twice.
+    EXPECT_EQ(executions(node(0)) + executions(node(1)) - before,
+              static_cast<std::uint64_t>(completed));
 }
 
 } // namespace
