--- a/tests/integration/link_faults_test.cpp
+++ b/tests/integration/link_faults_test.cpp
@@ -149,7 +149,7 @@
         std::set<std::string> payloads;
         std::ifstream lines{history_};
         for (std::string line; std::getline(lines, line);) {
-            payloads.insert(nlohmann::json::parse(line)["request"].get<std::string>());
+            payloads.insert(nlohmann::json::parse(line)["payload"].get<std::string>());
         }
         return payloads;
     }
