Try peers of unknown latency before idle ones

A resumed node got no calls for 30 s in paused_node_comes_back. Cause: the cost of a peer without a known latency assumed 1 ms, while idle peers on loopback measure 0.3 ms, so the comparison of two choices never picked it. Ruled out: membership (all nodes alive, three routes). The call still arrives only some seconds after the resume; that is open.

--- a/lib/routing/balancing_policy.cpp
+++ b/lib/routing/balancing_policy.cpp
@@ -7,8 +7,12 @@
 namespace chestnutstand {
 namespace {
 
-/// Assumed of a peer that has not reported yet, so that it is tried early but not by everybody.
-constexpr double unknown_latency_ms = 1.0;
+/// Lowest service time that a latency can stand for after the distance is subtracted.
+constexpr double lowest_service_ms = 0.05;
+
+/// Assumed of a peer whose latency is not known. It has to be below that of any measured peer, or the
+/// new peer is never tried while the others are idle. Slow start limits how many calls try it.
+constexpr double unknown_latency_ms = lowest_service_ms;
 constexpr double unknown_limit = 10.0;
 
 /// A peer has room while its load is below this part of its limit; above it waiting begins.
@@ -17,9 +21,6 @@
 /// Peers whose distance differs by less are taken as equally near.
 constexpr milliseconds same_distance{0.5};
 
-/// Lowest service time that a latency can stand for after the distance is subtracted.
-constexpr double lowest_service_ms = 0.05;
-
 std::size_t random_index(std::size_t size, random_generator& random)
 {
     return std::uniform_int_distribution<std::size_t>{0, size - 1}(random);
