--- a/benchmarks/capacity_benchmark.cpp
+++ b/benchmarks/capacity_benchmark.cpp
@@ -18,7 +18,6 @@
 
 constexpr milliseconds measured_time{20'000};
 constexpr milliseconds settle_time{5'000};
-constexpr milliseconds version_poll{10};
 constexpr int changes = 5;
 
 /// Processor time of a process in seconds.
--- a/lib/node/components/node_endpoint_component.cpp
+++ b/lib/node/components/node_endpoint_component.cpp
@@ -59,7 +59,7 @@
                 done(absl::UnavailableError("membership has not started"));
                 return;
             }
-            members->handle_sync(std::move(theirs), std::move(done));
+            members->handle_sync(theirs, done);
         });
     }
 
--- a/lib/node/kernel.cpp
+++ b/lib/node/kernel.cpp
@@ -57,7 +57,7 @@
 absl::Status kernel::start()
 {
     for (const auto& [name, make] : registry<component>::instance().factories()) {
-        const absl::Status status = start_with_dependencies(name);
+        absl::Status status = start_with_dependencies(name);
         if (!status.ok()) {
             return status;
         }
--- a/lib/routing/balancing_policy.cpp
+++ b/lib/routing/balancing_policy.cpp
@@ -10,8 +10,8 @@
 /// Lowest service time that a latency can stand for after the distance is subtracted.
 constexpr double lowest_service_ms = 0.05;
 
-/// Assumed of a peer whose latency is not known. It has to be below that of any measured peer, or the
-/// new peer is never tried while the others are idle. Slow start limits how many calls try it.
+/// Assumed of a peer whose latency is not known. It has to be below that of any measured peer, or
+/// the new peer is never tried while the others are idle. Slow start limits how many calls try it.
 constexpr double unknown_latency_ms = lowest_service_ms;
 constexpr double unknown_limit = 10.0;
 
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -49,7 +49,8 @@
                            const std::string& section, std::uint64_t base_version,
                            const std::string& content, const std::string& change_id);
 
-    /// Waits until every running node has a document and routes calls to the given number of members.
+    /// Waits until every running node has a document and routes calls to the given number of
+    /// members.
     bool wait_until_ready(std::size_t members);
 
     /// JSON of an admin endpoint, or null.
--- a/unittests/routing/balancing_policy_test.cpp
+++ b/unittests/routing/balancing_policy_test.cpp
@@ -99,8 +99,8 @@
     EXPECT_GT(choose_often("two_choices", 1000)[3], 300);
 }
 
-// Guards against a new or returned peer that is never tried, because idle peers with a known latency
-// of a fraction of a millisecond always look cheaper.
+// Guards against a new or returned peer that is never tried, because idle peers with a known
+// latency of a fraction of a millisecond always look cheaper.
 TEST_F(balancing_policy_test, unmeasured_peer_is_tried_before_fast_idle_peers)
 {
     for (std::size_t i = 0; i < 3; ++i) {
