--- a/benchmarks/capacity_benchmark.cpp
+++ b/benchmarks/capacity_benchmark.cpp
@@ -1,8 +1,10 @@
-// Measures what a node costs without calls, at several fleet sizes: memory, processor time, gossip
-// traffic, and the time until a configuration change is in force everywhere.
+// Measures what a node costs: without calls at several fleet sizes (memory, processor time, gossip
+// traffic, time until a configuration change is in force everywhere), and per call and per key.
+// Arguments: fleet sizes, or "slopes" for the costs per call and per key only.
 
 #include "../tests/support/fleet.h"
 
+#include <atomic>
 #include <cstdio>
 #include <cstdlib>
 #include <fstream>
@@ -10,6 +12,7 @@
 #include <string>
 #include <thread>
 #include <unistd.h>
+#include <vector>
 
 using namespace chestnutstand;
 using namespace chestnutstand::testing;
@@ -19,6 +22,9 @@
 constexpr milliseconds measured_time{20'000};
 constexpr milliseconds settle_time{5'000};
 constexpr int changes = 5;
+constexpr int caller_threads = 8;
+constexpr int warm_up_calls = 2'000;
+constexpr int keys_per_request = 1'000;
 
 /// Processor time of a process in seconds.
 double cpu_seconds(pid_t pid)
@@ -125,6 +131,116 @@
     std::fflush(stdout);
 }
 
+/// Two nodes, of which only the second has an upstream, so that every call crosses both.
+struct call_path {
+    fleet all;
+    fleet_member* entry = nullptr;
+    fleet_member* executing = nullptr;
+
+    bool start()
+    {
+        entry = &all.add("east", "");
+        executing = &all.add("east", "alpha", {"--slots", "64"});
+        all.publish(*entry, "platform", "main", 0, section_content("platform", {"alpha"}), "c");
+        return all.wait_until_ready(1);
+    }
+
+    /// Sends calls from several threads, one after the other in each.
+    void send(int count, const std::function<http_request(int)>& make)
+    {
+        std::atomic<int> next{0};
+        std::vector<std::thread> callers;
+        for (int i = 0; i < caller_threads; ++i) {
+            callers.emplace_back([&] {
+                for (int number = next++; number < count; number = next++) {
+                    exchange(all.client(), entry->caller_port, make(number));
+                }
+            });
+        }
+        for (auto& caller : callers) {
+            caller.join();
+        }
+    }
+};
+
+void measure_calls(int count)
+{
+    call_path path;
+    if (!path.start()) {
+        return;
+    }
+    const auto make = [](int) {
+        return http_request{"POST", "/call/alpha/x", {}, std::string(256, 'x')};
+    };
+    path.send(warm_up_calls, make);
+    const double entry_before = cpu_seconds(path.entry->node->pid());
+    const double executing_before = cpu_seconds(path.executing->node->pid());
+    path.send(count, make);
+    constexpr double microseconds = 1e6;
+    std::printf("| %d | %.0f | %.0f |\n", count,
+                (cpu_seconds(path.entry->node->pid()) - entry_before) / count * microseconds,
+                (cpu_seconds(path.executing->node->pid()) - executing_before) / count *
+                    microseconds);
+    std::fflush(stdout);
+}
+
+std::vector<std::string> issue_keys(call_path& path, int count)
+{
+    std::vector<std::string> keys;
+    while (static_cast<int>(keys.size()) < count) {
+        const auto result =
+            exchange(path.all.client(), path.entry->caller_port,
+                     {"POST", "/keys/alpha?count=" + std::to_string(keys_per_request), {}, ""});
+        const auto body = nlohmann::json::parse(result.response.body, nullptr, false);
+        if (!body.is_object() || !body.contains("keys")) {
+            return keys;
+        }
+        for (const auto& key : body["keys"]) {
+            keys.push_back(key.get<std::string>());
+        }
+    }
+    return keys;
+}
+
+void measure_keys(int count)
+{
+    call_path path;
+    if (!path.start()) {
+        return;
+    }
+    const auto keys = issue_keys(path, count);
+    if (static_cast<int>(keys.size()) < count) {
+        return;
+    }
+    const double entry_before = resident_megabytes(path.entry->node->pid());
+    const double executing_before = resident_megabytes(path.executing->node->pid());
+    path.send(count, [&](int number) {
+        return http_request{"POST",
+                            "/call/alpha/x",
+                            {{"Chestnut-Priority", "write"},
+                             {"Idempotency-Key", keys[static_cast<std::size_t>(number)]}},
+                            std::string(256, 'x')};
+    });
+    std::printf("| %d | %.1f | %.1f |\n", count,
+                resident_megabytes(path.entry->node->pid()) - entry_before,
+                resident_megabytes(path.executing->node->pid()) - executing_before);
+    std::fflush(stdout);
+}
+
+void measure_slopes()
+{
+    std::printf("\n| calls | CPU us per call, entry node | CPU us per call, executing node |\n"
+                "| --- | --- | --- |\n");
+    for (const int calls : {5'000, 10'000, 20'000}) {
+        measure_calls(calls);
+    }
+    std::printf("\n| keyed calls | MB more, key owner | MB more, executor |\n"
+                "| --- | --- | --- |\n");
+    for (const int calls : {2'000, 6'000, 18'000}) {
+        measure_keys(calls);
+    }
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -137,8 +253,13 @@
         for (const std::size_t nodes : {4, 12, 36}) {
             measure(nodes);
         }
+        measure_slopes();
     }
     for (int i = 1; i < argc; ++i) {
+        if (std::string{argv[i]} == "slopes") {
+            measure_slopes();
+            continue;
+        }
         measure(std::strtoul(argv[i], nullptr, 10));
     }
     return EXIT_SUCCESS;
