--- a/lib/transport/curl_client.cpp
+++ b/lib/transport/curl_client.cpp
@@ -48,16 +48,6 @@
     }
 };
 
-std::string_view trim(std::string_view text)
-{
-    constexpr std::string_view blanks = " \t\r\n";
-    const auto first = text.find_first_not_of(blanks);
-    if (first == std::string_view::npos) {
-        return {};
-    }
-    return text.substr(first, text.find_last_not_of(blanks) - first + 1);
-}
-
 std::size_t on_header(char* data, std::size_t size, std::size_t count, void* user)
 {
     auto& self = *static_cast<transfer*>(user);
@@ -78,7 +68,7 @@
         return line.size();
     }
     http_header field{std::string{line.substr(0, colon)},
-                      std::string{trim(line.substr(colon + 1))}};
+                      std::string{trim_blanks(line.substr(colon + 1))}};
     if (header_name_equal(field.name, "transfer-encoding") &&
         header_name_equal(field.value, "chunked")) {
         self.chunked = true;
--- a/lib/transport/grpc_peer_client.cpp
+++ b/lib/transport/grpc_peer_client.cpp
@@ -56,6 +56,24 @@
     Reply reply;
 };
 
+/// Callback of a call that converts its reply, or passes its error on.
+template <typename State, typename Done, typename Convert>
+auto on_reply(std::shared_ptr<State> state, Done done, Convert convert)
+{
+    return [state = std::move(state), done = std::move(done), convert](const grpc::Status& status) {
+        if (!status.ok()) {
+            done(to_absl(status));
+            return;
+        }
+        done(convert(state->reply));
+    };
+}
+
+std::vector<std::string> members_of(const wire::SyncMembersMessage& message)
+{
+    return {message.members().begin(), message.members().end()};
+}
+
 class grpc_peer_client final : public peer_client {
 public:
     void execute(const node_reference& target, const call& what, call_done done) override
@@ -93,13 +111,7 @@
         state->context.set_deadline(system_deadline(timeout));
         stub_of(executor)->async()->Settle(
             &state->context, &state->request, &state->reply,
-            [state, done = std::move(done)](const grpc::Status& status) {
-                if (!status.ok()) {
-                    done(to_absl(status));
-                    return;
-                }
-                done(from_wire(state->reply));
-            });
+            on_reply(state, std::move(done), [](const auto& reply) { return from_wire(reply); }));
     }
 
     void probe(const node_reference& target, milliseconds timeout, probe_done done) override
@@ -108,13 +120,7 @@
         state->context.set_deadline(system_deadline(timeout));
         stub_of(target)->async()->Probe(
             &state->context, &state->request, &state->reply,
-            [state, done = std::move(done)](const grpc::Status& status) {
-                if (!status.ok()) {
-                    done(to_absl(status));
-                    return;
-                }
-                done(from_wire(state->reply));
-            });
+            on_reply(state, std::move(done), [](const auto& reply) { return from_wire(reply); }));
     }
 
     void fetch_changes(const node_reference& target, std::uint64_t from_offset,
@@ -126,13 +132,7 @@
         state->context.set_deadline(system_deadline(timeout));
         stub_of(target)->async()->FetchChanges(
             &state->context, &state->request, &state->reply,
-            [state, done = std::move(done)](const grpc::Status& status) {
-                if (!status.ok()) {
-                    done(to_absl(status));
-                    return;
-                }
-                done(from_wire(state->reply));
-            });
+            on_reply(state, std::move(done), [](const auto& reply) { return from_wire(reply); }));
     }
 
     void sync_members(const node_reference& target, std::vector<std::string> members,
@@ -142,16 +142,8 @@
             std::make_shared<unary_call<wire::SyncMembersMessage, wire::SyncMembersMessage>>();
         state->request.mutable_members()->Add(members.begin(), members.end());
         state->context.set_deadline(system_deadline(timeout));
-        stub_of(target)->async()->SyncMembers(
-            &state->context, &state->request, &state->reply,
-            [state, done = std::move(done)](const grpc::Status& status) {
-                if (!status.ok()) {
-                    done(to_absl(status));
-                    return;
-                }
-                const auto& theirs = state->reply.members();
-                done(std::vector<std::string>{theirs.begin(), theirs.end()});
-            });
+        stub_of(target)->async()->SyncMembers(&state->context, &state->request, &state->reply,
+                                              on_reply(state, std::move(done), members_of));
     }
 
 private:
--- a/lib/transport/headers.cpp
+++ b/lib/transport/headers.cpp
@@ -50,6 +50,16 @@
     return absl::EqualsIgnoreCase(to_absl(left), to_absl(right));
 }
 
+std::string_view trim_blanks(std::string_view text)
+{
+    constexpr std::string_view blanks = " \t\r\n";
+    const auto first = text.find_first_not_of(blanks);
+    if (first == std::string_view::npos) {
+        return {};
+    }
+    return text.substr(first, text.find_last_not_of(blanks) - first + 1);
+}
+
 std::optional<std::string_view> find_header(const std::vector<http_header>& headers,
                                             std::string_view name)
 {
--- a/lib/transport/request_framer.cpp
+++ b/lib/transport/request_framer.cpp
@@ -55,16 +55,6 @@
            });
 }
 
-std::string_view trim(std::string_view text)
-{
-    constexpr std::string_view blanks = " \t";
-    const auto first = text.find_first_not_of(blanks);
-    if (first == std::string_view::npos) {
-        return {};
-    }
-    return text.substr(first, text.find_last_not_of(blanks) - first + 1);
-}
-
 /// Takes one line off the front of a block.
 std::string_view take_line(std::string_view& block)
 {
@@ -113,7 +103,7 @@
     if (colon == std::string_view::npos || !is_token(name)) {
         return malformed("a header line must be NAME: VALUE");
     }
-    const std::string_view value = trim(line.substr(colon + 1));
+    const std::string_view value = trim_blanks(line.substr(colon + 1));
     if (!is_field_value(value)) {
         return malformed(absl::StrCat("header ", std::string{name}, " has a control character"));
     }
@@ -136,7 +126,7 @@
         }
         const std::vector<std::string> options = absl::StrSplit(field.value, ',');
         return std::any_of(options.begin(), options.end(), [](const std::string& option) {
-            return header_name_equal(trim(option), "close");
+            return header_name_equal(trim_blanks(option), "close");
         });
     });
 }
--- /dev/null
+++ b/unittests/node/operations_page_test.cpp
@@ -0,0 +1,34 @@
+#include "chestnutstand/node/problem.h"
+
+#include <gtest/gtest.h>
+
+#include <fstream>
+#include <iterator>
+#include <string>
+
+namespace chestnutstand {
+namespace {
+
+// Guards against a reason that an operator meets in a counter and cannot look up, and against a
+// status on the page that callers do not get.
+TEST(operations_page, explains_every_reason_with_its_status)
+{
+    std::ifstream file{OPERATIONS_PAGE};
+    const std::string page{std::istreambuf_iterator<char>{file}, {}};
+    ASSERT_FALSE(page.empty());
+    for (std::size_t i = 1; i < reason_count; ++i) {
+        const auto why = static_cast<reason>(i);
+        const auto row = page.find("\n| `" + std::string{to_string(why)} + "` | ");
+        ASSERT_NE(row, std::string::npos) << to_string(why);
+        const std::string line = page.substr(row + 1, page.find('\n', row + 1) - row - 1);
+        const auto lists = [&](outcome how) {
+            return line.find(std::to_string(status_of(how, why))) != std::string::npos;
+        };
+        EXPECT_TRUE(why == reason::caller_gone || lists(outcome::not_run) ||
+                    lists(outcome::unknown))
+            << line;
+    }
+}
+
+} // namespace
+} // namespace chestnutstand
