--- a/lib/node/admin_api.cpp
+++ b/lib/node/admin_api.cpp
@@ -242,7 +242,9 @@
         node_.get<config_service>().publish(
             std::move(change), [response](const absl::StatusOr<publish_verdict>& verdict) {
                 if (!verdict.ok()) {
-                    response->send(error_response(503, std::string{verdict.status().message()}));
+                    // 504: the change may still take effect. 503: it was not published.
+                    const int code = absl::IsDeadlineExceeded(verdict.status()) ? 504 : 503;
+                    response->send(error_response(code, std::string{verdict.status().message()}));
                     return;
                 }
                 response->send(json_response(200, {{"accepted", verdict->accepted},
