Count the depth of calls for the upstream, test headers and cancellation end to end

Cause: the node sent the depth of the call itself to the upstream, so an upstream that copies the header into its own calls never got any deeper, and a cycle of services was not noticed. Ruled out: counting at ingress, since calls from callers would then start at 1. The node now sends depth + 1; the unit test gave 3 instead of 4 before. Two end-to-end tests cover hop-by-hop headers and the cancellation of a call whose caller has gone.

--- a/lib/node/upstream_exchange.cpp
+++ b/lib/node/upstream_exchange.cpp
@@ -57,7 +57,8 @@
     add_header(request, header::request_id, what.request_id);
     add_header(request, header::priority, what.priority);
     add_header(request, header::timeout_ms, std::to_string(std::lround(timeout.count())));
-    add_header(request, header::depth, std::to_string(what.depth));
+    // The upstream copies the depth into its own calls, which are one step deeper.
+    add_header(request, header::depth, std::to_string(what.depth + 1));
     add_header(request, header::retry_budget, std::to_string(what.retry_budget));
     if (!what.idempotency_key.empty()) {
         add_header(request, header::idempotency_key, what.idempotency_key);
--- a/tests/integration/path_test.cpp
+++ b/tests/integration/path_test.cpp
@@ -45,6 +45,53 @@
     EXPECT_EQ(answered.size(), 3U);
 }
 
+/// One node with its upstream, ready to serve the service alpha.
+fleet_member& start_one(fleet& all)
+{
+    auto& only = all.add("east", "alpha");
+    const auto verdict = all.publish(only, "platform", "main", 0,
+                                     section_content("platform", {"alpha"}), "change-1");
+    EXPECT_TRUE(verdict.is_object() && verdict.value("accepted", false)) << verdict;
+    EXPECT_TRUE(all.wait_until_ready(1));
+    return only;
+}
+
+// Guards against headers of the caller's own connection that reach the upstream (RFC 9110, 7.6.1),
+// and against headers of the caller that are lost.
+TEST(path, passes_only_end_to_end_headers_on)
+{
+    fleet all;
+    auto& only = start_one(all);
+    const auto result = exchange(
+        all.client(), only.caller_port,
+        {"GET",
+         "/call/alpha/x",
+         {{"Connection", "keep-alive, X-Hop"}, {"X-Hop", "1"}, {"TE", "trailers"}, {"X-Kept", "1"}},
+         ""});
+    ASSERT_EQ(result.response.status, 200) << result.response.body;
+    const auto body = nlohmann::json::parse(result.response.body);
+    const std::set<std::string> received = body["headers"];
+    EXPECT_TRUE(received.contains("x-kept"));
+    EXPECT_FALSE(received.contains("x-hop"));
+    EXPECT_FALSE(received.contains("te"));
+    EXPECT_EQ(body["depth"], "1");
+}
+
+// Guards against calls that occupy the upstream for a caller that has gone: the stub would take a
+// minute, longer than this test waits.
+TEST(path, cancels_the_call_of_a_caller_that_disconnects)
+{
+    fleet all;
+    auto& only = start_one(all);
+    ASSERT_TRUE(all.control(only.upstream_port, "/behaviour", {{"service_ms", 60'000}}));
+    const auto result = exchange(all.client(), only.caller_port,
+                                 {"GET", "/call/alpha/x", {{"Chestnut-Timeout-Ms", "600000"}}, ""},
+                                 milliseconds{300});
+    EXPECT_EQ(result.error, http_error::timed_out);
+    EXPECT_TRUE(eventually([&] { return all.counters(only)["executions"] == 1; }));
+    EXPECT_TRUE(eventually([&] { return all.status(only)["load"]["in_flight"] == 0; }));
+}
+
 // Guards against a planned stop that does not end with exit status 0.
 TEST(path, stops_gracefully_on_sigterm)
 {
--- a/tests/stub_upstream/stub_upstream.cpp
+++ b/tests/stub_upstream/stub_upstream.cpp
@@ -6,6 +6,7 @@
 #include "chestnutstand/transport/http_client.h"
 #include "chestnutstand/transport/http_server.h"
 
+#include <absl/strings/ascii.h>
 #include <nlohmann/json.hpp>
 
 #include <cstdio>
@@ -115,6 +116,15 @@
         return std::string{find_header(request.headers, name).value_or("")};
     }
 
+    static nlohmann::json header_names(const http_request& request)
+    {
+        auto names = nlohmann::json::array();
+        for (const auto& field : request.headers) {
+            names.push_back(absl::AsciiStrToLower(field.name));
+        }
+        return names;
+    }
+
     void serve(const http_request& request, const std::shared_ptr<responder>& response)
     {
         behaviour now;
@@ -146,6 +156,7 @@
             {"target", request.target},
             {"method", request.method},
             {"echo", request.body},
+            {"headers", header_names(request)},
             {"timeout_ms", text(request, header::timeout_ms)},
             {"depth", text(request, header::depth)},
             {"execution",
--- a/unittests/node/executor_test.cpp
+++ b/unittests/node/executor_test.cpp
@@ -276,6 +276,17 @@
     EXPECT_EQ(upstream_.pending.size(), 1U);
 }
 
+// Guards against a cycle of services that is never noticed: an upstream copies the depth that it
+// got into its own calls, so the node has to count the step.
+TEST_F(executor_test, counts_the_depth_for_the_upstream)
+{
+    call what;
+    what.depth = 3;
+    execute(what);
+    ASSERT_EQ(upstream_.requests.size(), 1U);
+    EXPECT_EQ(find_header(upstream_.requests.begin()->second.headers, header::depth), "4");
+}
+
 // Guards against an upstream that goes on working after the deadline of its call.
 TEST_F(executor_test, passes_the_remaining_time_on)
 {
