--- a/benchmarks/capacity_benchmark.cpp
+++ b/benchmarks/capacity_benchmark.cpp
@@ -150,6 +150,7 @@
     {
         std::atomic<int> next{0};
         std::vector<std::thread> callers;
+        callers.reserve(caller_threads);
         for (int i = 0; i < caller_threads; ++i) {
             callers.emplace_back([&] {
                 for (int number = next++; number < count; number = next++) {
