Let calls that a node refused move on without retry budget

Cause: a refusal by the node beside an upstream was paid like a retry, so that under load calls were refused although another node had room. It has cost the upstream nothing.

Ruled out: a higher budget, which would also allow more real repeats.

Kept for its correctness; the moves themselves have to become fewer, which needs fresher knowledge of which node has room.

--- a/lib/node/dispatcher.cpp
+++ b/lib/node/dispatcher.cpp
@@ -286,12 +286,17 @@
     if (result.why == reason::caller_gone || options_.now() >= running->what.deadline) {
         return false;
     }
-    if (!selector_.take_retry(running->what.service)) {
+    // A refusal before the upstream has cost it nothing, and moving the call on costs it one request
+    // as before.
+    const bool repeats = reached_upstream(result);
+    if (repeats && !selector_.take_retry(running->what.service)) {
         counters_.count(reason_event::refused, reason::retry_budget_exhausted);
         return false;
     }
     if (!start_attempt(running)) {
-        selector_.give_back_retry(running->what.service);
+        if (repeats) {
+            selector_.give_back_retry(running->what.service);
+        }
         return false;
     }
     counters_.count(reason_event::retried, result.why);
