Keep work away from VMs that their neighbours slow down

The load header's fourth figure, logged with each answer, shows why: for about 300 ms at a time a VM works four times slower, and a request that starts then takes four times as long to its end. The same header with nine of nine slots in use shows the second cause: the last slots slow all others down.

A node that hears of a slow pace now refuses calls that can be placed elsewhere and holds the others while waiting costs less than starting; load reports carry the pace; 0.8 of the slots are used.

Ruled out: hedging against slow answers (costs a second run each); refusing on queue length alone (the queue was empty).

--- a/include/chestnutstand/admission/admission_queue.h
+++ b/include/chestnutstand/admission/admission_queue.h
@@ -62,8 +62,14 @@
     /// Index of a class by its name, valid until the next set_classes().
     std::optional<std::size_t> find_priority(std::string_view name) const;
 
-    /// The class that is served last; nothing when there is no class.
-    std::optional<std::size_t> least_urgent() const;
+    /// A class for a request whose own is not known here: the first one with the prefix, or else
+    /// the one that is served last. Nothing when there is no class.
+    std::optional<std::size_t> find_substitute(std::string_view prefix) const;
+
+    /// Tells how long work takes on the upstream now, compared with its usual time. While it takes
+    /// longer, a request starts only if it would still meet its latency target, or else would miss
+    /// its deadline.
+    void set_pace(double factor) { pace_ = factor; }
 
     /// Admits, queues or refuses a request. Ids must be unique among all requests in the queue.
     offer_result offer(std::uint64_t id, std::size_t priority, time_point deadline, time_point now);
@@ -105,10 +111,11 @@
 
     reason refusal_of(std::uint64_t id, std::size_t priority, time_point deadline, time_point now);
     std::optional<std::size_t> pick(time_point now) const;
-    std::optional<std::size_t> pick_guaranteed() const;
+    std::optional<std::size_t> pick_guaranteed(time_point now) const;
     queue_decision start_next_of(std::size_t priority, time_point now);
     void settle_credit(std::size_t dispatched);
     bool has_room(std::size_t priority, time_point now) const;
+    bool worth_starting(const class_queue& queue, time_point now) const;
     std::uint32_t headroom(std::size_t priority, time_point now) const;
     std::optional<queue_decision> expire(time_point now);
     double dispatches_per_ms(std::size_t priority, time_point now) const;
@@ -124,6 +131,7 @@
     /// Requests whose class was removed, still to be handed out by next().
     std::deque<queued_request> removed_classes_;
     decaying_mean service_time_;
+    double pace_ = 1.0;
     bool draining_ = false;
 };
 
--- a/include/chestnutstand/admission/class_queue.h
+++ b/include/chestnutstand/admission/class_queue.h
@@ -49,7 +49,9 @@
 
     void push(const queued_request& request, time_point now);
     bool remove(std::uint64_t id);
-    /// The request to serve next; the queue must not be empty.
+    /// The request to serve next, up to those that have become late meanwhile; the queue must not
+    /// be empty.
+    const queued_request& front() const;
     queued_request pop(time_point now);
     /// A request that has to be refused by now, if any.
     std::optional<expired_request> expire(time_point now);
--- a/include/chestnutstand/config/document.h
+++ b/include/chestnutstand/config/document.h
@@ -33,6 +33,9 @@
     /// Retries allowed per successful call.
     double retry_ratio = 0.1;
     std::uint32_t queue_limit_per_priority = 200;
+    /// Share of an upstream's slots that is used at once. Many upstreams get slower with the last
+    /// ones than the additional concurrency is worth.
+    double slot_share = 1.0;
     std::string balancing_policy = "two_choices";
     /// Path that an upstream answers with 200 while it is healthy and not leaving.
     std::string health_path;
--- a/include/chestnutstand/config/document_parser.h
+++ b/include/chestnutstand/config/document_parser.h
@@ -49,8 +49,11 @@
 /// document (failed_precondition).
 absl::StatusOr<document> parse_document(const std::vector<section>& sections);
 
-/// Name of the priority class that a record's routes of one rank share.
-std::string class_of_rank(std::uint32_t rank);
+/// Name of the priority class that a record's routes of one rank and latency target share.
+std::string class_of(const route& leading);
+
+/// What the names of all classes of one rank begin with.
+std::string rank_prefix(std::uint32_t rank);
 
 /// Reads a whole document that its operator keeps in one record. Unknown keys are ignored; the
 /// priority classes of the services are derived from the routes.
--- a/include/chestnutstand/node/executor.h
+++ b/include/chestnutstand/node/executor.h
@@ -2,6 +2,7 @@
 
 #include "chestnutstand/admission/admission_queue.h"
 #include "chestnutstand/admission/load_prober.h"
+#include "chestnutstand/admission/upstream_pace.h"
 #include "chestnutstand/config/document.h"
 #include "chestnutstand/keys/executor_keys.h"
 #include "chestnutstand/support/metrics.h"
@@ -92,11 +93,12 @@
     };
 
     void apply_configuration(time_point now);
+    std::uint32_t usable_slots() const;
     std::optional<reason> refusal(std::uint64_t target_instance, const call& what,
                                   time_point now) const;
     void offer(std::uint64_t target_instance, call what, const std::optional<key_id>& key,
                const call_done& done, time_point now);
-    std::optional<std::size_t> class_of(const call& what) const;
+    std::optional<std::size_t> find_class(const call& what) const;
     void admit(execution_ptr what, time_point now, follow_up& next);
     void take_decisions(time_point now, follow_up& next);
     bool commit_to_start(execution& what);
@@ -107,6 +109,9 @@
     void cancel(const execution_ptr& what);
     void finish(const execution_ptr& what, http_result result);
     load_report report_locked() const;
+    void observe_pace(const http_result& result, time_point now);
+    void refresh_pace(time_point now);
+    void follow_pace(time_point now);
 
     const std::uint64_t instance_;
     http_client& client_;
@@ -123,6 +128,8 @@
     std::optional<admission_queue> queue_;
     std::unordered_map<std::uint64_t, execution_ptr> executions_;
     std::uint64_t last_id_ = 0;
+    upstream_pace pace_;
+    bool probing_pace_ = false;
     bool draining_ = false;
 };
 
--- a/include/chestnutstand/routing/peer_load.h
+++ b/include/chestnutstand/routing/peer_load.h
@@ -26,6 +26,8 @@
     milliseconds latency{0};
     /// Response time of the upstream from the last report, without the network.
     milliseconds reported_latency{0};
+    /// From the last report: how long work takes there, 1 for the usual time.
+    double pace = 1.0;
     /// Age of the last report; empty without one.
     std::optional<milliseconds> report_age;
 };
@@ -66,6 +68,7 @@
     time_point avoided_until_{};
     float latency_ms_ = 0.0F;
     float reported_latency_ms_ = 0.0F;
+    float pace_ = 1.0F;
     bool has_report_ = false;
 };
 
--- a/include/chestnutstand/transport/call.h
+++ b/include/chestnutstand/transport/call.h
@@ -56,6 +56,9 @@
     /// Attempts left for the whole call tree below this call.
     std::uint32_t retry_budget = 0;
     repeatability repeat = repeatability::by_class;
+    /// Whether the sender can place the call elsewhere instead of having it wait for a slow
+    /// upstream.
+    bool movable = false;
     /// Empty for a call without a key.
     std::string idempotency_key;
     /// Unique per attempt; the upstream echoes it.
@@ -77,6 +80,8 @@
     std::uint32_t limit = 0;
     std::vector<queue_length> queues;
     milliseconds latency{0};
+    /// How long work takes on the upstream's VM at this moment; 1 for the usual time.
+    double pace = 1.0;
     bool draining = false;
     bool upstream_registered = false;
 };
--- a/lib/admission/admission_queue.cpp
+++ b/lib/admission/admission_queue.cpp
@@ -18,6 +18,8 @@
 constexpr double earned_dispatch = 1.0 - 1e-9;
 // A class without requests for this long is not expected back within the next moments.
 constexpr milliseconds headroom_memory{10'000};
+// Covers the time between two looks at the queue.
+constexpr milliseconds slow_start_margin{40};
 // Waiting a tenth of the target for a free slot is not worth an idle slot.
 constexpr double negligible_wait_of_target = 0.1;
 
@@ -52,8 +54,13 @@
     return std::nullopt;
 }
 
-std::optional<std::size_t> admission_queue::least_urgent() const
+std::optional<std::size_t> admission_queue::find_substitute(std::string_view prefix) const
 {
+    for (std::size_t i = 0; i < classes_.size(); ++i) {
+        if (classes_[i].config().name.rfind(prefix, 0) == 0) {
+            return i;
+        }
+    }
     return by_urgency_.empty() ? std::nullopt : std::optional{by_urgency_.back()};
 }
 
@@ -139,23 +146,24 @@
     if (in_flight() >= limit_.value() || queued_.empty()) {
         return std::nullopt;
     }
-    if (const auto guaranteed = pick_guaranteed()) {
+    if (const auto guaranteed = pick_guaranteed(now)) {
         return guaranteed;
     }
     for (const auto priority : by_urgency_) {
-        if (!classes_[priority].empty() && has_room(priority, now)) {
+        if (!classes_[priority].empty() && has_room(priority, now) &&
+            worth_starting(classes_[priority], now)) {
             return priority;
         }
     }
     return std::nullopt;
 }
 
-std::optional<std::size_t> admission_queue::pick_guaranteed() const
+std::optional<std::size_t> admission_queue::pick_guaranteed(time_point now) const
 {
     std::optional<std::size_t> best;
     for (const auto priority : by_urgency_) {
         const auto& queue = classes_[priority];
-        if (!queue.empty() && queue.credit >= earned_dispatch &&
+        if (!queue.empty() && queue.credit >= earned_dispatch && worth_starting(queue, now) &&
             (!best || queue.credit > classes_[*best].credit)) {
             best = priority;
         }
@@ -195,6 +203,20 @@
     return in_flight() + headroom(priority, now) < limit_.value();
 }
 
+/// A request that starts while the upstream is slow takes several times as long to its end, so that
+/// waiting costs it less as long as there is time.
+bool admission_queue::worth_starting(const class_queue& queue, time_point now) const
+{
+    if (pace_ <= 1.0) {
+        return true;
+    }
+    const milliseconds service{queue.service_time().optimistic(now) * pace_};
+    const auto& first = queue.front();
+    const bool in_time = now - first.arrived + service <= queue.config().latency_target;
+    const bool last_chance = now + service + slow_start_margin >= first.deadline;
+    return in_time || last_chance;
+}
+
 std::uint32_t admission_queue::headroom(std::size_t priority, time_point now) const
 {
     const auto& queue = classes_[priority];
--- a/lib/admission/class_queue.cpp
+++ b/lib/admission/class_queue.cpp
@@ -52,6 +52,11 @@
     return true;
 }
 
+const queued_request& class_queue::front() const
+{
+    return in_time_.empty() ? late_.front() : in_time_.front();
+}
+
 queued_request class_queue::pop(time_point now)
 {
     move_late(now);
--- a/lib/config/document_parser.cpp
+++ b/lib/config/document_parser.cpp
@@ -40,6 +40,7 @@
         schema::number("retry_ratio", "", {0, 1}, &service_config::retry_ratio),
         schema::integer("queue_limit_per_priority", "requests", {1, 100'000},
                         &service_config::queue_limit_per_priority),
+        schema::number("slot_share", "", {0.01, 1}, &service_config::slot_share),
         schema::choice(
             "balancing_policy",
             {"two_choices", "two_choices_stale", "least_outstanding", "round_robin", "random"}, 0,
@@ -180,24 +181,24 @@
     return absl::OkStatus();
 }
 
-/// Gives a service one class for each rank of the routes that lead to it. A class has the shortest
-/// latency target of its routes.
+/// Slots beyond this share make the others slower than they add.
+constexpr double record_slot_share = 0.8;
+
+/// Gives a service one class for each rank and latency target of the routes that lead to it.
 void add_class(service_config& service, const route& leading)
 {
-    const std::string name = class_of_rank(leading.rank);
-    const auto found = std::find_if(service.priorities.begin(), service.priorities.end(),
-                                    [&](const auto& each) { return each.name == name; });
-    if (found == service.priorities.end()) {
+    const std::string name = class_of(leading);
+    if (service.find_priority(name) == nullptr) {
         service.priorities.push_back(
             {name, leading.latency_target, 1.0, leading.idempotent, leading.rank});
-        return;
     }
-    found->latency_target = std::min(found->latency_target, leading.latency_target);
-    found->idempotent = found->idempotent && leading.idempotent;
 }
 
 void derive_classes(document& whole)
 {
+    for (auto& service : whole.services) {
+        service.slot_share = record_slot_share;
+    }
     for (const auto& each : whole.routes) {
         for (auto& service : whole.services) {
             const bool leads =
@@ -290,9 +291,14 @@
     return result;
 }
 
-std::string class_of_rank(std::uint32_t rank)
+std::string class_of(const route& leading)
+{
+    return str_cat(rank_prefix(leading.rank), leading.latency_target.count());
+}
+
+std::string rank_prefix(std::uint32_t rank)
 {
-    return str_cat("rank-", rank);
+    return str_cat("rank-", rank, "/");
 }
 
 absl::StatusOr<document> parse_record(std::string_view content, std::string_view source)
--- a/lib/node/call_parser.cpp
+++ b/lib/node/call_parser.cpp
@@ -143,7 +143,7 @@
     }
     call result;
     result.service = matched->service_at(position);
-    result.priority = class_of_rank(matched->rank);
+    result.priority = class_of(*matched);
     result.repeat = matched->idempotent ? repeatability::repeatable : repeatability::at_most_once;
     result.retry_budget = matched->attempts - 1;
     result.deadline = now + matched->timeout;
--- a/lib/node/dispatcher.cpp
+++ b/lib/node/dispatcher.cpp
@@ -11,7 +11,10 @@
 
 /// Attempts of one dispatched call, the first included. Also bounds the attempts that reach no
 /// upstream and therefore do not draw on the budget of the call tree.
-constexpr std::size_t attempt_limit = 4;
+constexpr std::size_t attempt_limit = 6;
+
+/// Placements after which a call waits for a slow upstream instead of being moved on.
+constexpr std::size_t move_limit = 4;
 
 constexpr milliseconds probe_timeout{300};
 
@@ -51,12 +54,27 @@
     std::mutex mutex;
     tree_budget budget;
     std::vector<std::uint64_t> tried;
+    /// Those of them that would not start the call at once because their upstream was slow.
+    std::vector<std::uint64_t> slow;
+    /// The call waits for a slow upstream, because there is no other.
+    bool settled_for_slow = false;
     /// One for each attempt, so that the attempts that lose against a hedge can be ended.
     std::vector<std::shared_ptr<cancellation>> cancels;
+    std::size_t placements = 0;
     std::size_t running = 0;
     bool finished = false;
     /// The result that says most about whether the call ran.
     std::optional<call_result> failure;
+
+    /// Makes the members that only were slow eligible again; false when there are none.
+    bool settle_for_slow()
+    {
+        std::erase_if(tried, [this](std::uint64_t instance) {
+            return std::find(slow.begin(), slow.end(), instance) != slow.end();
+        });
+        settled_for_slow = true;
+        return !std::exchange(slow, {}).empty();
+    }
 };
 
 /// Whether the result ends the call, so that no attempt can do better.
@@ -111,7 +129,7 @@
     void dispatch(const call& what, call_done done);
     void execute_on(const node_reference& target, const call& what, call_done done)
     {
-        send(selector_.find(what.service, target), what, what.retry_budget, what.cancel,
+        send(selector_.find(what.service, target), what, what.retry_budget, false, what.cancel,
              std::move(done));
     }
     upstream_selector& selector() { return selector_; }
@@ -127,7 +145,7 @@
     void schedule_hedge(const call_state& running);
     void hedge(const call_state& running);
     void send(const std::shared_ptr<peer>& target, const call& what, std::uint32_t carried,
-              const std::shared_ptr<cancellation>& cancel, call_done done);
+              bool movable, const std::shared_ptr<cancellation>& cancel, call_done done);
     void probe_stale_member(const std::string& service);
 
     peer_client& peers_;
@@ -209,10 +227,12 @@
 {
     std::shared_ptr<peer> target;
     std::uint32_t carried = 0;
+    bool movable = false;
+    const bool by_class = running->what.repeat == repeatability::by_class;
     const auto cancel = std::make_shared<cancellation>();
     {
         const std::lock_guard lock{running->mutex};
-        if (running->finished || running->tried.size() >= attempt_limit) {
+        if (running->finished || running->placements >= attempt_limit) {
             return false;
         }
         const std::optional<std::uint32_t> part = running->budget.start();
@@ -221,18 +241,24 @@
         }
         carried = *part;
         target = selector_.choose(running->what.service, running->what.priority, running->tried);
+        if (!target && running->settle_for_slow()) {
+            target =
+                selector_.choose(running->what.service, running->what.priority, running->tried);
+        }
         if (!target) {
             running->budget.give_back(carried);
             return false;
         }
+        ++running->placements;
         running->tried.push_back(target->node.instance);
+        movable = !by_class && !running->settled_for_slow && running->placements < move_limit;
         running->cancels.push_back(cancel);
         ++running->running;
     }
     if (running->what.cancel) {
         running->what.cancel->on_cancel([cancel] { cancel->cancel(); });
     }
-    send(target, running->what, carried, cancel,
+    send(target, running->what, carried, movable, cancel,
          [self = shared_from_this(), running, carried](call_result result) {
              self->finish_attempt(running, carried, std::move(result));
          });
@@ -249,6 +275,9 @@
         if (running->finished) {
             return;
         }
+        if (result.why == reason::upstream_slow && result.load) {
+            running->slow.push_back(result.load->instance);
+        }
         if (!reached_upstream(result)) {
             running->budget.give_back(carried);
         }
@@ -286,8 +315,8 @@
     if (result.why == reason::caller_gone || options_.now() >= running->what.deadline) {
         return false;
     }
-    // A refusal before the upstream has cost it nothing, and moving the call on costs it one request
-    // as before.
+    // A refusal before the upstream has cost it nothing, and moving the call on costs it one
+    // request as before.
     const bool repeats = reached_upstream(result);
     if (repeats && !selector_.take_retry(running->what.service)) {
         counters_.count(reason_event::refused, reason::retry_budget_exhausted);
@@ -341,10 +370,11 @@
 }
 
 void dispatcher::core::send(const std::shared_ptr<peer>& target, const call& what,
-                            std::uint32_t carried, const std::shared_ptr<cancellation>& cancel,
-                            call_done done)
+                            std::uint32_t carried, bool movable,
+                            const std::shared_ptr<cancellation>& cancel, call_done done)
 {
     call attempt = what;
+    attempt.movable = movable;
     attempt.retry_budget = carried;
     attempt.cancel = cancel;
     if (what.repeat == repeatability::by_class) {
--- a/lib/node/executor.cpp
+++ b/lib/node/executor.cpp
@@ -1,12 +1,18 @@
 #include "chestnutstand/node/executor.h"
 
 #include "chestnutstand/node/upstream_exchange.h"
+#include "chestnutstand/support/log.h"
 
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <string_view>
 #include <utility>
 
 namespace chestnutstand {
 namespace {
 
+constexpr milliseconds pace_probe_timeout{200};
 constexpr int status_too_many_requests = 429;
 constexpr int status_server_error = 500;
 constexpr int status_service_unavailable = 503;
@@ -31,6 +37,21 @@
     return {sample_kind::completed, result.elapsed};
 }
 
+/// Reads the pace out of RUNNING,WAITING,SLOTS,PACE, where a pace of 100 is the usual one.
+std::optional<double> parse_pace(std::string_view load)
+{
+    constexpr double usual_pace = 100.0;
+    const auto last = load.rfind(',');
+    double value = 0.0;
+    const std::string_view text = last == std::string_view::npos ? load : load.substr(last + 1);
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (std::count(load.begin(), load.end(), ',') != 3 || error != std::errc{} ||
+        end != text.data() + text.size() || value <= 0.0) {
+        return std::nullopt;
+    }
+    return value / usual_pace;
+}
+
 call_result refused(reason why, load_report load)
 {
     auto result = not_run(why);
@@ -61,7 +82,7 @@
         }
         upstream_ = std::move(upstream);
         if (upstream_ && queue_) {
-            queue_->set_slots(upstream_->slots);
+            queue_->set_slots(usable_slots());
         }
         apply_configuration(now);
         take_decisions(now, next);
@@ -98,14 +119,23 @@
     const auto classes = service != nullptr ? *service : service_config{};
     if (queue_) {
         queue_->set_classes(classes);
+        queue_->set_slots(usable_slots());
         return;
     }
-    queue_.emplace(classes, upstream_->slots);
+    queue_.emplace(classes, usable_slots());
     if (draining_) {
         queue_->drain();
     }
 }
 
+/// Slots of the upstream that are used at once.
+std::uint32_t executor::usable_slots() const
+{
+    const auto* service = applied_ ? applied_->find_service(upstream_->service) : nullptr;
+    const double share = service != nullptr ? service->slot_share : 1.0;
+    return std::max(1U, static_cast<std::uint32_t>(std::floor(share * upstream_->slots)));
+}
+
 std::optional<reason> executor::refusal(std::uint64_t target_instance, const call& what,
                                         time_point now) const
 {
@@ -124,18 +154,25 @@
     if (what.deadline <= now) {
         return reason::deadline_exceeded;
     }
-    if (!class_of(what)) {
+    if (!find_class(what)) {
         return reason::unknown_priority;
     }
+    if (what.movable && pace_.slow(now)) {
+        return reason::upstream_slow;
+    }
     return std::nullopt;
 }
 
 /// The sender may follow a newer or older document, whose routes make other classes. Its call then
-/// waits with the least urgent class.
-std::optional<std::size_t> executor::class_of(const call& what) const
+/// waits with another class of its rank.
+std::optional<std::size_t> executor::find_class(const call& what) const
 {
     const auto found = queue_->find_priority(what.priority);
-    return found || what.repeat == repeatability::by_class ? found : queue_->least_urgent();
+    if (found || what.repeat == repeatability::by_class) {
+        return found;
+    }
+    const auto end = what.priority.find('/');
+    return queue_->find_substitute(std::string_view{what.priority}.substr(0, end + 1));
 }
 
 void executor::execute(std::uint64_t target_instance, call what, const call_done& done)
@@ -185,7 +222,7 @@
 
 void executor::admit(execution_ptr what, time_point now, follow_up& next)
 {
-    const auto priority = class_of(what->what).value();
+    const auto priority = find_class(what->what).value();
     const auto offered = queue_->offer(what->id, priority, what->what.deadline, now);
     if (offered.result == offer_state::refused) {
         next.refusals.push_back({what->done, what->key, offered.why, report_locked()});
@@ -322,6 +359,7 @@
 {
     const auto now = ms_clock::now();
     const auto sample = make_sample(result);
+    observe_pace(result, now);
     call_result ended = judge_upstream_response(what->what, std::move(result), names_);
     follow_up next;
     {
@@ -353,6 +391,7 @@
     {
         const std::lock_guard lock{mutex_};
         apply_configuration(now);
+        follow_pace(now);
         take_decisions(now, next);
         if (upstream_ && !draining_) {
             probe_url = upstream_->base_url;
@@ -361,7 +400,61 @@
     run(std::move(next));
     if (probe_url) {
         prober_.poll(*probe_url, now);
+        refresh_pace(now);
+    }
+}
+
+/// Hands the pace to the queue, which holds requests while the upstream is slow.
+void executor::follow_pace(time_point now)
+{
+    if (queue_) {
+        queue_->set_pace(pace_.slow(now) ? pace_.factor(now) : 1.0);
+    }
+}
+
+void executor::observe_pace(const http_result& result, time_point now)
+{
+    const auto reported = find_header(result.response.headers, names_.upstream_load);
+    if (!reported) {
+        return;
     }
+    const auto factor = parse_pace(*reported);
+    if (!factor) {
+        log_event(log_level::warning, "load header not readable",
+                  {{"value", std::string{*reported}}});
+        return;
+    }
+    const std::lock_guard lock{mutex_};
+    pace_.observe(*factor, now);
+    follow_pace(now);
+}
+
+/// Asks a slow upstream that has not been heard of for a while, so that it gets work again as soon
+/// as it is back to its usual pace.
+void executor::refresh_pace(time_point now)
+{
+    std::string url;
+    std::string path;
+    {
+        const std::lock_guard lock{mutex_};
+        const auto* service =
+            applied_ && upstream_ ? applied_->find_service(upstream_->service) : nullptr;
+        if (probing_pace_ || service == nullptr || service->health_path.empty() ||
+            !pace_.wants_refresh(now)) {
+            return;
+        }
+        probing_pace_ = true;
+        url = upstream_->base_url;
+        path = service->health_path;
+    }
+    client_.send(url, {"GET", path, {}, ""}, pace_probe_timeout, [this](http_result result) {
+        {
+            const std::lock_guard lock{mutex_};
+            probing_pace_ = false;
+        }
+        observe_pace(result, ms_clock::now());
+        poll(ms_clock::now());
+    });
 }
 
 load_report executor::report() const
@@ -378,8 +471,9 @@
         load.limit = 0;
     }
     else if (!queue_) {
-        load.limit = upstream_->slots;
+        load.limit = usable_slots();
     }
+    load.pace = pace_.factor(ms_clock::now());
     load.draining = draining_;
     load.upstream_registered = upstream_.has_value();
     return load;
--- a/lib/routing/balancing_policy.cpp
+++ b/lib/routing/balancing_policy.cpp
@@ -18,6 +18,11 @@
 /// A peer has room while its load is below this part of its limit; above it waiting begins.
 constexpr double room_below = 0.8;
 
+/// A VM whose pace is at least this is avoided, as long as the report is recent: neighbours on its
+/// hardware come and go within some hundred milliseconds.
+constexpr double slow_pace = 1.5;
+constexpr milliseconds pace_memory{150};
+
 /// Peers whose distance differs by less are taken as equally near.
 constexpr milliseconds same_distance{0.5};
 
@@ -113,6 +118,11 @@
     return std::max(reported, static_cast<double>(view.own_in_flight));
 }
 
+bool is_slow(const load_view& view)
+{
+    return view.pace >= slow_pace && view.report_age && *view.report_age <= pace_memory;
+}
+
 /// Candidates of the nearest data centre that has any with room; all when none has room.
 std::vector<candidate> nearest_with_room(std::span<const candidate> candidates,
                                          const selection& circumstances,
@@ -123,7 +133,7 @@
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const load_view view = candidates[i].load->read(circumstances.rank, circumstances.now);
         const double limit = view.limit > 0 ? static_cast<double>(view.limit) : unknown_limit;
-        has_room[i] = known_load(view) < room_below * limit;
+        has_room[i] = known_load(view) < room_below * limit && !is_slow(view);
         if (has_room[i]) {
             nearest = std::min(nearest, candidates[i].distance);
         }
@@ -183,7 +193,8 @@
 double expected_cost(const candidate& peer, const selection& circumstances)
 {
     const load_view view = peer.load->read(circumstances.rank, circumstances.now);
-    return cost_behind(known_load(view), view, peer.distance);
+    const double pace = is_slow(view) ? view.pace : 1.0;
+    return cost_behind(known_load(view), view, peer.distance) * pace;
 }
 
 } // namespace chestnutstand
--- a/lib/routing/peer_load.cpp
+++ b/lib/routing/peer_load.cpp
@@ -60,6 +60,7 @@
         length = narrow(length + queue.length);
     }
     reported_latency_ms_ = static_cast<float>(report.latency.count());
+    pace_ = static_cast<float>(report.pace);
     sent_since_report_ = 0;
     reported_at_ = now;
     has_report_ = true;
@@ -78,6 +79,7 @@
     view.limit = limit_;
     view.latency = decayed_latency(now);
     view.reported_latency = milliseconds{reported_latency_ms_};
+    view.pace = pace_;
     if (has_report_) {
         view.report_age = now - reported_at_;
     }
--- a/lib/transport/wire_convert.cpp
+++ b/lib/transport/wire_convert.cpp
@@ -74,6 +74,7 @@
     message.set_timeout_ms((what.deadline - ms_clock::now()).count());
     message.set_idempotency_key(what.idempotency_key);
     message.set_request_id(what.request_id);
+    message.set_movable(what.movable);
     message.set_repeatability(repeatabilities_on_wire.at(static_cast<std::size_t>(what.repeat)));
     auto* request = message.mutable_request();
     request->set_method(what.request.method);
@@ -93,6 +94,7 @@
     result.retry_budget = what.retry_budget();
     result.idempotency_key = what.idempotency_key();
     result.request_id = what.request_id();
+    result.movable = what.movable();
     // An unknown value must not make a call repeatable.
     result.repeat =
         value_from_wire(repeatabilities_on_wire, what.repeatability(), repeatability::at_most_once);
@@ -117,6 +119,7 @@
     message.set_latency_ms(load.latency.count());
     message.set_draining(load.draining);
     message.set_upstream_registered(load.upstream_registered);
+    message.set_pace(load.pace);
     return message;
 }
 
@@ -132,6 +135,7 @@
     result.latency = milliseconds{load.latency_ms()};
     result.draining = load.draining();
     result.upstream_registered = load.upstream_registered();
+    result.pace = load.pace() > 0.0 ? load.pace() : 1.0;
     return result;
 }
 
--- a/unittests/admission/admission_queue_test.cpp
+++ b/unittests/admission/admission_queue_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -287,5 +288,44 @@
     EXPECT_EQ(load.queues[urgent].length, 0U);
 }
 
+// Guards against requests that start while neighbours slow the VM down, and take several times as
+// long although the VM is back to its pace soon.
+TEST_F(admission_queue_test, holds_requests_while_the_upstream_is_slow)
+{
+    measure(normal, 100, 20);
+    queue_.set_pace(4.0);
+    EXPECT_EQ(offer(normal), offer_state::queued);
+    EXPECT_FALSE(queue_.next(now_));
+    elapse(100);
+    queue_.set_pace(1.0);
+    const auto started = queue_.next(now_);
+    ASSERT_TRUE(started);
+    EXPECT_TRUE(started->starts());
+}
+
+// Guards against a held request that misses its deadline although it could have run slowly.
+TEST_F(admission_queue_test, starts_a_held_request_at_its_last_chance)
+{
+    measure(normal, 100, 20);
+    queue_.set_pace(4.0);
+    EXPECT_EQ(offer(normal, 700), offer_state::queued);
+    std::optional<queue_decision> decision;
+    for (int waited = 0; waited < 700 && !decision; waited += 10) {
+        decision = queue_.next(now_);
+        elapse(10);
+    }
+    ASSERT_TRUE(decision);
+    EXPECT_TRUE(decision->starts());
+    EXPECT_GT(decision->waited, milliseconds{100});
+}
+
+// Guards against short requests that are held although they meet their target on a slow upstream.
+TEST_F(admission_queue_test, starts_what_meets_its_target_on_a_slow_upstream)
+{
+    measure(batch, 20, 20);
+    queue_.set_pace(4.0);
+    EXPECT_EQ(offer(batch), offer_state::admitted);
+}
+
 } // namespace
 } // namespace chestnutstand
--- a/unittests/config/document_test.cpp
+++ b/unittests/config/document_test.cpp
@@ -81,15 +81,15 @@
     EXPECT_EQ(name_of("unknown.example", "/view/1"), "none");
 }
 
-// Guards against classes that are missing for a service which only a split leads to, and against a
-// class whose order differs from the ranks of its routes.
-TEST(record, derives_one_class_per_rank)
+// Guards against classes that are missing for a service which only a split leads to, and against
+// one class for requests that take different times.
+TEST(record, derives_one_class_per_rank_and_target)
 {
     const auto read = parse_record(whole, "record");
     ASSERT_TRUE(read.ok()) << read.status();
     const auto& ledger = *read->find_service("ledger");
-    ASSERT_EQ(ledger.priorities.size(), 2U);
-    const auto* viewing = ledger.find_priority(class_of_rank(1));
+    ASSERT_EQ(ledger.priorities.size(), 3U);
+    const auto* viewing = ledger.find_priority(class_of(read->routes[1]));
     ASSERT_NE(viewing, nullptr);
     EXPECT_EQ(viewing->latency_target, milliseconds{100});
     EXPECT_EQ(viewing->rank, 1U);
--- a/unittests/node/dispatcher_test.cpp
+++ b/unittests/node/dispatcher_test.cpp
@@ -335,5 +335,92 @@
     EXPECT_EQ(instances.size(), 3U);
 }
 
+class routed_dispatch : public dispatcher_test {
+protected:
+    call_result run_routed(repeatability repeat)
+    {
+        call what;
+        what.service = "ledger";
+        what.priority = "lookup";
+        what.deadline = now_ + milliseconds{1000};
+        what.retry_budget = 1;
+        what.repeat = repeat;
+        what.request_id = "attempt-1";
+        std::optional<call_result> result;
+        dispatcher_->dispatch(what, [&result](call_result given) { result = std::move(given); });
+        EXPECT_TRUE(result.has_value());
+        return result.value_or(unknown_outcome(reason::internal));
+    }
+
+    /// Refuses movable calls as a slow upstream does; the others get the answer.
+    void be_slow_everywhere()
+    {
+        ON_CALL(peers_, execute(_, _, _))
+            .WillByDefault(
+                [this](const node_reference& target, const call& what, const call_done& done) {
+                    attempts_.push_back({target.instance, what.retry_budget, what.request_id});
+                    call_result refused = not_run(reason::upstream_slow);
+                    refused.load.emplace();
+                    refused.load->instance = target.instance;
+                    refused.load->upstream_registered = true;
+                    done(what.movable ? refused : answer(200));
+                });
+    }
+};
+
+// Guards against a call that is refused everywhere because all upstreams are slow for a moment.
+TEST_F(routed_dispatch, waits_for_a_slow_upstream_when_all_are_slow)
+{
+    be_slow_everywhere();
+    EXPECT_EQ(run_routed(repeatability::at_most_once).outcome, outcome::completed);
+    EXPECT_EQ(attempts_.size(), 4U);
+}
+
+// Guards against calls that are refused for want of retry budget although no upstream had them.
+TEST_F(routed_dispatch, moving_a_refused_call_needs_no_retry_budget)
+{
+    for (int i = 0; i < 100; ++i) {
+        const std::size_t before = attempts_.size();
+        answer_with([&, before](int attempt) {
+            return attempt == static_cast<int>(before) ? not_run(reason::queue_full) : answer(200);
+        });
+        EXPECT_EQ(run_routed(repeatability::at_most_once).outcome, outcome::completed);
+    }
+}
+
+// Guards against a request id that changes on its way, so that the upstream cannot tell a repeat.
+TEST_F(routed_dispatch, keeps_the_request_id_of_the_caller)
+{
+    answer_with(
+        [](int attempt) { return attempt == 0 ? not_run(reason::upstream_refused) : answer(200); });
+    run_routed(repeatability::repeatable);
+    ASSERT_EQ(attempts_.size(), 2U);
+    EXPECT_EQ(attempts_[0].request_id, "attempt-1");
+    EXPECT_EQ(attempts_[1].request_id, "attempt-1");
+}
+
+// Guards against a caller that waits longer than its time limit for an upstream that is silent.
+TEST_F(routed_dispatch, answers_at_the_time_limit)
+{
+    ON_CALL(peers_, execute(_, _, _)).WillByDefault([](const auto&, const auto&, const auto&) {});
+    call what;
+    what.service = "ledger";
+    what.priority = "lookup";
+    what.deadline = now_ + milliseconds{1000};
+    what.repeat = repeatability::at_most_once;
+    std::optional<call_result> result;
+    call_done kept;
+    ON_CALL(peers_, execute(_, _, _))
+        .WillByDefault(
+            [&kept](const node_reference&, const call&, const call_done& done) { kept = done; });
+    dispatcher_->dispatch(what, [&result](call_result given) { result = std::move(given); });
+    ASSERT_FALSE(timers_.empty());
+    timers_.front()();
+    ASSERT_TRUE(result);
+    EXPECT_EQ(result->outcome, outcome::unknown);
+    EXPECT_EQ(result->why, reason::time_limit);
+    kept(answer(200));
+}
+
 } // namespace
 } // namespace chestnutstand
--- a/unittests/node/executor_test.cpp
+++ b/unittests/node/executor_test.cpp
@@ -297,5 +297,60 @@
     EXPECT_LE(upstream_.timeouts.at(1), milliseconds{60'000});
 }
 
+class executor_with_load_header : public executor_test {
+protected:
+    static header_names names()
+    {
+        header_names own;
+        own.upstream_load = "Load";
+        return own;
+    }
+
+    executor_with_load_header()
+    {
+        reporting_.set_upstream(local_upstream{"ledger", "http://127.0.0.1:1", 2, "i-1"});
+    }
+
+    reason execute_movable(bool movable)
+    {
+        call what;
+        what.service = "ledger";
+        what.priority = "read";
+        what.movable = movable;
+        what.repeat = repeatability::repeatable;
+        what.deadline = ms_clock::now() + milliseconds{60'000};
+        what.request_id = "r";
+        reason why = reason::internal;
+        reporting_.execute(own_instance, what, [&](const call_result& got) { why = got.why; });
+        return why;
+    }
+
+    executor reporting_{own_instance, upstream_, stats_, keys_, [this] { return document_; },
+                        names()};
+};
+
+// Guards against calls that start on a VM which its neighbours slow down, although another node
+// could take them.
+TEST_F(executor_with_load_header, refuses_movable_calls_while_its_upstream_is_slow)
+{
+    execute_movable(true);
+    upstream_.answer(1, 200, {{"Load", "0,0,2,100"}});
+    EXPECT_NE(execute_movable(true), reason::upstream_slow);
+    upstream_.answer(2, 200, {{"Load", "0,0,2,400"}});
+    EXPECT_EQ(execute_movable(true), reason::upstream_slow);
+    EXPECT_EQ(reporting_.report().pace, 4.0);
+    EXPECT_NE(execute_movable(false), reason::upstream_slow);
+}
+
+// Guards against a load header that cannot be read and is taken for a slow or a fast upstream.
+TEST_F(executor_with_load_header, ignores_a_damaged_load_header)
+{
+    for (const char* damaged : {"", "400", "1,2,3", "0,0,2,x", "0,0,2,-4", "0,0,2,400,1"}) {
+        execute_movable(true);
+        upstream_.answer(upstream_.last_id, 200, {{"Load", damaged}});
+    }
+    EXPECT_EQ(reporting_.report().pace, 1.0);
+}
+
 } // namespace
 } // namespace chestnutstand
