Read chunked bodies, follow the operators' limits, share the retry limits

Clients send bodies in chunks, which got 411; bodies above 1 MiB got 413 although the operators allow 64 MiB; answers without a length were dropped; each node had a retry floor of its own, so that twelve nodes could exceed the limit of the fleet; deadlines and leases stood still on a suspended VM.

The framer decodes chunks; the caller port takes its limits from the document in force; a routed answer may end with its connection, a reset one may not; a node spends its share of the fleet's retry limits; ms_clock counts suspended time.

--- a/include/chestnutstand/config/settings.h
+++ b/include/chestnutstand/config/settings.h
@@ -33,6 +33,14 @@
 
 inline constexpr name_table<caller_interface, 2> caller_interface_names{{"calls", "routes"}};
 
+/// Limits of the retries to one service that all nodes together keep; a window of 0 means that each
+/// node has limits of its own.
+struct retry_settings {
+    double ratio = 0.0;
+    double slack = 0.0;
+    double window_s = 0.0;
+};
+
 /// Settings of one process, read at its start.
 struct settings {
     /// IP address that all sockets bind to and that is told to peers.
@@ -61,6 +69,7 @@
     /// Authenticates idempotency keys; the same on all nodes.
     std::string cluster_secret;
     log_level lowest_log_level = log_level::info;
+    retry_settings retry_limits;
     std::uint32_t http_threads = 2;
     double drain_limit_ms = 30'000;
     double lame_duck_ms = 2'000;
--- a/include/chestnutstand/membership/member.h
+++ b/include/chestnutstand/membership/member.h
@@ -30,6 +30,16 @@
 struct routing_table {
     std::unordered_map<std::string, std::vector<member>> by_service;
 
+    /// Members with an upstream, of all services.
+    std::size_t node_count() const
+    {
+        std::size_t count = 0;
+        for (const auto& [service, members] : by_service) {
+            count += members.size();
+        }
+        return count;
+    }
+
     const std::vector<member>* find(const std::string& service) const
     {
         const auto found = by_service.find(service);
--- a/include/chestnutstand/routing/retry_budget.h
+++ b/include/chestnutstand/routing/retry_budget.h
@@ -3,12 +3,40 @@
 #include "chestnutstand/support/clock.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <utility>
 
 namespace chestnutstand {
 
+/// Limits of the retries that all nodes together may send to one service in a time window: a ratio
+/// of its calls plus a fixed number.
+struct fleet_retry_limits {
+    double ratio = 0.0;
+    double slack = 0.0;
+    milliseconds window{0};
+};
+
+/// What one node may spend.
+struct retry_share {
+    /// Earned with each successful call.
+    double ratio = 0.0;
+    /// Earned per second without any call.
+    double floor_per_s = 0.0;
+    /// Most that can be saved up.
+    double most_saved = 0.0;
+};
+
+/// Share of one of the given number of nodes, when no node knows what the others spend. Half of the
+/// ratio is left for the calls that retried calls make in turn, and a quarter of the slack for
+/// nodes that are not counted yet.
+inline retry_share share_of(const fleet_retry_limits& limits, std::size_t nodes)
+{
+    const double slack = limits.slack / static_cast<double>(std::max<std::size_t>(nodes, 1));
+    return {limits.ratio / 2.0, slack / 2.0 / (limits.window.count() / 1000.0), slack / 4.0};
+}
+
 /// Retries and hedges that one node may send to one service: a ratio of its successful calls plus a
 /// small rate that keeps retries possible at low traffic. Not safe for concurrent use.
 class retry_budget {
@@ -22,13 +50,21 @@
 
     explicit retry_budget(time_point now) : refilled_{now} {}
 
-    void record_success(double ratio) { saved_ = std::min(most_saved, saved_ + ratio); }
+    /// Replaces the limits of a node that is on its own.
+    void set_share(const retry_share& share)
+    {
+        share_ = share;
+        saved_ = std::min(saved_, std::max(1.0, share.most_saved));
+    }
+
+    void record_success(double ratio) { earn(share_ ? share_->ratio : ratio); }
 
     /// Takes one retry; false when there is none.
     bool try_take(time_point now)
     {
         if (now > refilled_) {
-            saved_ = std::min(most_saved, saved_ + (now - refilled_).count() * floor_per_s / 1000);
+            const double rate = share_ ? share_->floor_per_s : floor_per_s;
+            earn((now - refilled_).count() * rate / 1000);
             refilled_ = now;
         }
         if (saved_ < 1.0) {
@@ -39,9 +75,17 @@
     }
 
     /// Returns a retry that was taken and not sent.
-    void give_back() { saved_ = std::min(most_saved, saved_ + 1.0); }
+    void give_back() { earn(1.0); }
 
 private:
+    void earn(double amount)
+    {
+        // One retry must be affordable, however many nodes share the limits.
+        const double most = share_ ? std::max(1.0, share_->most_saved) : most_saved;
+        saved_ = std::min(most, saved_ + amount);
+    }
+
+    std::optional<retry_share> share_;
     double saved_ = saved_at_start;
     time_point refilled_;
 };
--- a/include/chestnutstand/routing/upstream_selector.h
+++ b/include/chestnutstand/routing/upstream_selector.h
@@ -29,6 +29,8 @@
     /// Seed of all random choices.
     std::uint64_t seed = 1;
     std::function<time_point()> now = &ms_clock::now;
+    /// Limits that all nodes share; without them each node has its own.
+    std::optional<fleet_retry_limits> retry_limits;
 };
 
 /// Chooses members for calls and learns from their replies. Safe for concurrent use; does no I/O.
--- a/include/chestnutstand/support/clock.h
+++ b/include/chestnutstand/support/clock.h
@@ -1,10 +1,13 @@
 #pragma once
 
 #include <chrono>
+#include <ctime>
 
 namespace chestnutstand {
 
-/// Monotonic clock that counts milliseconds, with a fractional part for latencies below one.
+/// Monotonic clock that counts milliseconds, with a fractional part for latencies below one. It
+/// goes on while the machine is suspended, so that deadlines and leases are over after a long
+/// suspension.
 struct ms_clock {
     using rep = double;
     using period = std::milli;
@@ -14,8 +17,10 @@
 
     static time_point now() noexcept
     {
-        return time_point{std::chrono::duration_cast<duration>(
-            std::chrono::steady_clock::now().time_since_epoch())};
+        std::timespec now{};
+        ::clock_gettime(CLOCK_BOOTTIME, &now);
+        return time_point{duration{static_cast<double>(now.tv_sec) * 1e3 +
+                                   static_cast<double>(now.tv_nsec) / 1e6}};
     }
 };
 
--- a/include/chestnutstand/transport/http_server.h
+++ b/include/chestnutstand/transport/http_server.h
@@ -37,17 +37,23 @@
     std::optional<std::vector<http_header>> headers;
 };
 
-struct http_server_options {
-    std::string address = "127.0.0.1";
-    /// 0 means assigned by the kernel.
-    std::uint16_t port = 0;
-    std::uint32_t threads = 1;
+/// What clients may send, and for how long they may be silent.
+struct http_server_limits {
     std::size_t max_body_bytes = std::size_t{1} << 20U;
     std::size_t max_header_bytes = std::size_t{16} << 10U;
     /// A client that has not sent its whole request by then is refused.
     milliseconds request_timeout{10'000};
     /// A connection without a request is closed after this time.
     milliseconds idle_timeout{300'000};
+};
+
+struct http_server_options : http_server_limits {
+    std::string address = "127.0.0.1";
+    /// 0 means assigned by the kernel.
+    std::uint16_t port = 0;
+    std::uint32_t threads = 1;
+    /// Limits that take the place of the fixed ones when a request begins; called on any thread.
+    std::function<http_server_limits()> current_limits;
     /// Makes the response to a request that the server refuses itself; by default plain text.
     std::function<http_response(const request_refusal&)> refuse;
 };
--- a/lib/config/settings_file.cpp
+++ b/lib/config/settings_file.cpp
@@ -120,6 +120,16 @@
     return keys;
 }
 
+const schema::object_schema<retry_settings>& retry_keys()
+{
+    static const schema::object_schema<retry_settings> keys{
+        schema::number("ratio", "", {0, 10}, &retry_settings::ratio),
+        schema::number("slack", "requests", {0, 1'000'000}, &retry_settings::slack),
+        schema::number("window_s", "s", {0, 3'600}, &retry_settings::window_s),
+    };
+    return keys;
+}
+
 caller_interface interface_from(const std::string& name)
 {
     return caller_interface_names.find(name).value_or(caller_interface::calls);
@@ -147,6 +157,7 @@
         schema::text("cluster_secret", secret_format, &settings::cluster_secret),
         schema::choice("log_level", {"debug", "info", "warning", "error"}, 1,
                        &settings::lowest_log_level, log_level_from),
+        schema::object("retry_limits", retry_keys(), &settings::retry_limits),
         schema::integer("http_threads", "", {1, 64}, &settings::http_threads),
         schema::number("drain_limit_ms", "ms", {0, 600'000}, &settings::drain_limit_ms),
         schema::number("lame_duck_ms", "ms", {0, 60'000}, &settings::lame_duck_ms),
--- a/lib/node/components/dispatcher_component.cpp
+++ b/lib/node/components/dispatcher_component.cpp
@@ -41,6 +41,11 @@
         options.self_instance = node.instance();
         options.data_centre = node.config().data_centre;
         options.seed = node.instance();
+        const retry_settings& retries = node.config().retry_limits;
+        if (retries.window_s > 0.0) {
+            options.retry_limits = {retries.ratio, retries.slack,
+                                    milliseconds{retries.window_s * 1000.0}};
+        }
         options.run_after = [&node](milliseconds delay, std::function<void()> work) {
             node.control().post_after(delay, std::move(work));
         };
--- a/lib/node/components/ingress_component.cpp
+++ b/lib/node/components/ingress_component.cpp
@@ -2,11 +2,15 @@
 #include "chestnutstand/node/ingress.h"
 #include "chestnutstand/node/kernel.h"
 
+#include <algorithm>
 #include <memory>
 
 namespace chestnutstand {
 namespace {
 
+/// Time for a body of the largest size over a slow link.
+constexpr milliseconds body_timeout{30'000};
+
 /// Serves callers over HTTP.
 class ingress_component final : public component {
 public:
@@ -30,6 +34,7 @@
         options.address = at.address;
         options.port = at.port;
         options.threads = own.http_threads;
+        options.current_limits = [&node] { return limits_of(node); };
         options.refuse = [this](const request_refusal& why) {
             return ingress_->refuse_unreadable(why);
         };
@@ -51,6 +56,19 @@
     void stop(kernel& /*node*/) override { server_->stop(); }
 
 private:
+    /// The operators' limits, once there is a document.
+    static http_server_limits limits_of(kernel& node)
+    {
+        http_server_limits limits;
+        if (const auto in_force = node.get<configuration>().current().load()) {
+            limits.max_body_bytes = in_force->limits.max_body_bytes;
+            limits.max_header_bytes = in_force->limits.max_header_bytes;
+            limits.request_timeout = std::max(in_force->limits.header_timeout, body_timeout);
+            limits.idle_timeout = in_force->limits.idle_timeout;
+        }
+        return limits;
+    }
+
     std::unique_ptr<ingress> ingress_;
     std::unique_ptr<http_server> server_;
 };
--- a/lib/node/upstream_exchange.cpp
+++ b/lib/node/upstream_exchange.cpp
@@ -101,7 +101,10 @@
     if (result.error == http_error::connect_failed) {
         return not_run(reason::upstream_unreachable);
     }
-    if (result.error != http_error::none) {
+    // The end of the connection ends such an answer; one that was reset is reported as truncated.
+    const bool ended_by_close =
+        result.error == http_error::unframed && what.repeat != repeatability::by_class;
+    if (result.error != http_error::none && !ended_by_close) {
         return unknown_outcome(reason_of(result.error));
     }
     if (find_header(result.response.headers, names.request_id) != what.request_id) {
--- a/lib/routing/upstream_selector.cpp
+++ b/lib/routing/upstream_selector.cpp
@@ -91,6 +91,9 @@
     if (state.routes != routes) {
         const std::vector<member>* members = routes->find(service);
         state.peers.update(members != nullptr ? *members : std::vector<member>{}, options_.now());
+        if (options_.retry_limits) {
+            state.retries->set_share(share_of(*options_.retry_limits, routes->node_count()));
+        }
         state.routes = std::move(routes);
     }
     return &state;
--- /dev/null
+++ b/lib/transport/chunked_body.cpp
@@ -0,0 +1,83 @@
+#include "chunked_body.h"
+
+#include <algorithm>
+#include <charconv>
+#include <string_view>
+
+namespace chestnutstand {
+namespace {
+
+constexpr std::string_view line_end = "\r\n";
+/// A chunk size with its extensions, or one trailer field.
+constexpr std::size_t max_line_bytes = 4'096;
+constexpr std::size_t max_trailer_bytes = 16'384;
+constexpr int hexadecimal = 16;
+
+} // namespace
+
+chunk_progress chunked_body::take_from(std::string& buffer)
+{
+    std::size_t taken = 0;
+    auto progress = chunk_progress::incomplete;
+    while (progress == chunk_progress::incomplete && taken < buffer.size()) {
+        if (state_ == state::data) {
+            const std::size_t count = std::min(chunk_left_, buffer.size() - taken);
+            bytes_.append(buffer, taken, count);
+            taken += count;
+            chunk_left_ -= count;
+            state_ = chunk_left_ == 0 ? state::data_end : state::data;
+            continue;
+        }
+        const auto end = buffer.find(line_end, taken);
+        if (end == std::string::npos) {
+            if (buffer.size() - taken > max_line_bytes) {
+                progress = chunk_progress::malformed;
+            }
+            break;
+        }
+        const std::string line = buffer.substr(taken, end - taken);
+        taken = end + line_end.size();
+        if (state_ == state::size) {
+            progress = read_size(line);
+        }
+        else if (state_ == state::trailer) {
+            progress = read_trailer(line);
+        }
+        else {
+            // The data of a chunk ends with an empty line.
+            progress = line.empty() ? chunk_progress::incomplete : chunk_progress::malformed;
+            state_ = state::size;
+        }
+    }
+    buffer.erase(0, taken);
+    return progress;
+}
+
+chunk_progress chunked_body::read_size(const std::string& line)
+{
+    const std::string_view digits = std::string_view{line}.substr(0, line.find(';'));
+    std::size_t size = 0;
+    const auto [end, error] =
+        std::from_chars(digits.data(), digits.data() + digits.size(), size, hexadecimal);
+    if (digits.empty() || error != std::errc{} || end != digits.data() + digits.size() ||
+        line.find('\n') != std::string::npos) {
+        return chunk_progress::malformed;
+    }
+    if (size > max_bytes_ || bytes_.size() > max_bytes_ - size) {
+        return chunk_progress::too_large;
+    }
+    chunk_left_ = size;
+    state_ = size == 0 ? state::trailer : state::data;
+    return chunk_progress::incomplete;
+}
+
+chunk_progress chunked_body::read_trailer(const std::string& line)
+{
+    trailer_bytes_ += line.size();
+    if (trailer_bytes_ > max_trailer_bytes) {
+        return chunk_progress::malformed;
+    }
+    return line.empty() ? chunk_progress::complete : chunk_progress::incomplete;
+}
+
+} // namespace chestnutstand
--- a/lib/transport/pistache_server.cpp
+++ b/lib/transport/pistache_server.cpp
@@ -47,13 +47,16 @@
 
 /// State of one client connection; used only by the thread that owns the connection.
 struct connection {
-    connection(peer_ptr client, const http_server_options& options)
-        : peer{std::move(client)}, framer{options.max_header_bytes, options.max_body_bytes},
-          deadline{ms_clock::now() + options.idle_timeout}
+    connection(peer_ptr client, const http_server_limits& current)
+        : peer{std::move(client)}, limits{current}, framer{current.max_header_bytes,
+                                                           current.max_body_bytes},
+          deadline{ms_clock::now() + current.idle_timeout}
     {
     }
 
     peer_ptr peer;
+    /// In force since the current request began.
+    http_server_limits limits;
     request_framer framer;
     /// The request that is being handled.
     std::shared_ptr<response_slot> slot;
@@ -75,6 +78,12 @@
     std::mutex mutex;
     std::vector<std::shared_ptr<response_queue>> queues;
     std::atomic<std::uint32_t> open_connections = 0;
+
+    http_server_limits limits() const
+    {
+        return options.current_limits ? options.current_limits()
+                                      : static_cast<const http_server_limits&>(options);
+    }
 };
 
 class server_transport;
@@ -209,7 +218,7 @@
 
 void server_transport::open(const peer_ptr& peer)
 {
-    const auto added = connections_.try_emplace(peer->getID(), peer, shared_->options).first;
+    const auto added = connections_.try_emplace(peer->getID(), peer, shared_->limits()).first;
     ++shared_->open_connections;
     arm_timer(*added->second.deadline);
 }
@@ -235,10 +244,13 @@
         return;
     }
     connection& client = found->second;
+    if (client.framer.empty()) {
+        client.limits = shared_->limits();
+        client.framer.set_limits(client.limits.max_header_bytes, client.limits.max_body_bytes);
+    }
     client.framer.add(bytes);
-    const auto& options = shared_->options;
     if (client.slot &&
-        client.framer.buffered() > options.max_header_bytes + options.max_body_bytes) {
+        client.framer.buffered() > client.limits.max_header_bytes + client.limits.max_body_bytes) {
         // The client pipelines more than is kept for it.
         client.broken = true;
         doomed_.push_back(peer->getID());
@@ -288,9 +300,8 @@
         return;
     }
     client.in_request = in_request;
-    const auto& options = shared_->options;
     client.deadline =
-        ms_clock::now() + (in_request ? options.request_timeout : options.idle_timeout);
+        ms_clock::now() + (in_request ? client.limits.request_timeout : client.limits.idle_timeout);
     arm_timer(*client.deadline);
 }
 
@@ -320,7 +331,7 @@
     client.writing = true;
     const std::size_t id = client.peer->getID();
     const std::size_t size = bytes.size();
-    client.deadline = ms_clock::now() + shared_->options.request_timeout;
+    client.deadline = ms_clock::now() + client.limits.request_timeout;
     client.peer->send(Pistache::RawBuffer{std::move(bytes), size}, MSG_NOSIGNAL)
         .then([this, id](ssize_t) { written(id, true); },
               [this, id](const std::exception_ptr&) { written(id, false); });
--- a/lib/transport/request_framer.cpp
+++ b/lib/transport/request_framer.cpp
@@ -19,7 +19,6 @@
 namespace http = Pistache::Http;
 
 constexpr std::string_view line_end = "\r\n";
-constexpr int status_length_required = 411;
 constexpr int status_too_large = 413;
 constexpr int status_expectation_failed = 417;
 constexpr int status_headers_too_large = 431;
@@ -157,6 +156,9 @@
             return *refused;
         }
     }
+    if (head_ && head_->chunks) {
+        return next_chunked();
+    }
     if (!head_ || buffer_.size() < head_->body_bytes) {
         return std::monostate{};
     }
@@ -167,6 +169,38 @@
     return complete;
 }
 
+framing_result request_framer::next_chunked()
+{
+    switch (head_->chunks->take_from(buffer_)) {
+    case chunk_progress::incomplete:
+        return std::monostate{};
+    case chunk_progress::malformed:
+        return malformed("the chunked body is malformed");
+    case chunk_progress::too_large:
+        return body_too_large();
+    case chunk_progress::complete:
+        break;
+    }
+    framed_request complete = std::move(head_->parsed);
+    complete.request.body = std::move(head_->chunks->bytes());
+    head_.reset();
+    return complete;
+}
+
+request_refusal request_framer::body_too_large() const
+{
+    return {status_too_large,
+            reason::body_too_large,
+            absl::StrCat("the body must be at most ", max_body_bytes_, " bytes"),
+            {}};
+}
+
+void request_framer::set_limits(std::size_t max_header_bytes, std::size_t max_body_bytes)
+{
+    max_header_bytes_ = max_header_bytes;
+    max_body_bytes_ = max_body_bytes;
+}
+
 request_refusal request_framer::give_up(int status, std::string detail) const
 {
     request_refusal refused{status, reason::malformed_request, std::move(detail), {}};
@@ -240,7 +274,7 @@
                                    "the only expectation that is met is 100-continue",
                                    request.headers};
         }
-        result.continue_wanted = result.body_bytes > 0;
+        result.continue_wanted = result.body_bytes > 0 || result.chunks;
     }
     result.parsed.keep_alive = result.parsed.keep_alive && !closes_connection(request);
     return result;
@@ -254,8 +288,12 @@
         if (lengths > 0) {
             return malformed("Content-Length and Transfer-Encoding exclude each other");
         }
-        return request_refusal{
-            status_length_required, reason::malformed_request, "a body needs a Content-Length", {}};
+        if (count_headers(request, "transfer-encoding") > 1 ||
+            !header_name_equal(*find_header(request.headers, "transfer-encoding"), "chunked")) {
+            return malformed("the only transfer encoding that is read is chunked");
+        }
+        into.chunks.emplace(max_body_bytes_);
+        return std::nullopt;
     }
     if (lengths == 0) {
         return std::nullopt;
@@ -270,10 +308,7 @@
     const char* end = text.data() + text.size();
     const bool fits = std::from_chars(text.data(), end, into.body_bytes).ec == std::errc{};
     if (!fits || into.body_bytes > max_body_bytes_) {
-        return request_refusal{status_too_large,
-                               reason::body_too_large,
-                               absl::StrCat("the body must be at most ", max_body_bytes_, " bytes"),
-                               {}};
+        return body_too_large();
     }
     return std::nullopt;
 }
--- a/lib/transport/request_framer.h
+++ b/lib/transport/request_framer.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "chunked_body.h"
+
 #include "chestnutstand/transport/http_server.h"
 
 #include <cstddef>
@@ -25,6 +27,9 @@
 public:
     request_framer(std::size_t max_header_bytes, std::size_t max_body_bytes);
 
+    /// Limits from the next request on.
+    void set_limits(std::size_t max_header_bytes, std::size_t max_body_bytes);
+
     void add(std::string_view bytes) { buffer_.append(bytes); }
 
     /// Takes the next complete request out of the buffer.
@@ -46,15 +51,19 @@
     struct head {
         framed_request parsed;
         std::size_t body_bytes = 0;
+        /// Set for a body that comes in chunks.
+        std::optional<chunked_body> chunks;
         bool continue_wanted = false;
     };
 
     std::optional<request_refusal> read_head();
+    framing_result next_chunked();
+    request_refusal body_too_large() const;
     std::variant<head, request_refusal> parse_head(std::string_view block) const;
     std::optional<request_refusal> read_body_length(head& into) const;
 
-    const std::size_t max_header_bytes_;
-    const std::size_t max_body_bytes_;
+    std::size_t max_header_bytes_;
+    std::size_t max_body_bytes_;
     std::string buffer_;
     /// Bytes of the buffer that are known not to contain the end of the header block.
     std::size_t scanned_ = 0;
--- a/unittests/node/routed_call_test.cpp
+++ b/unittests/node/routed_call_test.cpp
@@ -132,6 +132,19 @@
     EXPECT_EQ(judge_upstream_response(other, crossed, names_).outcome, outcome::unknown);
 }
 
+// Guards against answers without a length that are dropped, and against cut ones that pass for
+// whole.
+TEST_F(routed_call, delivers_an_answer_that_ends_with_its_connection)
+{
+    const call what = parsed("/pay/1", {{"Request-Id", "r1"}});
+    http_result ended;
+    ended.error = http_error::unframed;
+    ended.response = {200, {{"Request-Id", "r1"}}, "answer"};
+    EXPECT_EQ(judge_upstream_response(what, ended, names_).outcome, outcome::completed);
+    ended.error = http_error::truncated;
+    EXPECT_EQ(judge_upstream_response(what, ended, names_).outcome, outcome::unknown);
+}
+
 // Guards against a promise that nothing has run while it may have.
 TEST_F(routed_call, promises_only_what_is_known)
 {
--- a/unittests/routing/retry_budget_test.cpp
+++ b/unittests/routing/retry_budget_test.cpp
@@ -153,5 +153,35 @@
     EXPECT_EQ(empty.start(), std::nullopt);
 }
 
+// Guards against nodes that keep their own limits each and together exceed those of the fleet.
+TEST(retry_budget, shares_of_all_nodes_stay_within_the_limits_of_the_fleet)
+{
+    constexpr std::size_t nodes = 12;
+    const fleet_retry_limits limits{0.2, 56.0, milliseconds{10'000}};
+    time_point now{milliseconds{1'000'000}};
+    std::vector<retry_budget> budgets(nodes, retry_budget{now});
+    for (auto& budget : budgets) {
+        budget.set_share(share_of(limits, nodes));
+        while (budget.try_take(now)) {
+        }
+        budget.set_share(share_of(limits, nodes));
+    }
+    now += milliseconds{60'000};
+    double calls = 0.0;
+    double retries = 0.0;
+    for (int ms = 0; ms < 10'000; ms += 100) {
+        now += milliseconds{100};
+        for (auto& budget : budgets) {
+            budget.record_success(0.1);
+            calls += 1.0;
+            while (budget.try_take(now)) {
+                retries += 1.0;
+            }
+        }
+    }
+    EXPECT_LE(retries, limits.ratio * calls + limits.slack);
+    EXPECT_GE(retries, limits.ratio * calls / 4.0);
+}
+
 } // namespace
 } // namespace chestnutstand
--- a/unittests/transport/http_server_test.cpp
+++ b/unittests/transport/http_server_test.cpp
@@ -149,7 +149,11 @@
         {start + "Content-Length: 1, 1\r\n\r\na", 400},
         {start + "Content-Length: 99999999999999999999999\r\n\r\n", 413},
         {start + "Content-Length: 1048577\r\n\r\n", 413},
-        {start + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 411},
+        {start + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", 400},
+        {start + "Transfer-Encoding: chunked\r\n\r\nx\r\n\r\n", 400},
+        {start + "Transfer-Encoding: chunked\r\n\r\n-1\r\n\r\n", 400},
+        {start + "Transfer-Encoding: chunked\r\n\r\n2\r\nabc\r\n0\r\n\r\n", 400},
+        {start + "Transfer-Encoding: chunked\r\n\r\nfffffff\r\n", 413},
         {start + "Transfer-Encoding: chunked\r\nContent-Length: 1\r\n\r\n0\r\n\r\n", 400},
         {start + "Expect: miracles\r\n\r\n", 417},
         {start + "no colon\r\n\r\n", 400},
@@ -308,5 +312,43 @@
     EXPECT_FALSE(raw_socket::connect_to(port).open());
 }
 
+// Guards against clients that send a body in chunks and are refused, or whose next request is read
+// from the wrong place.
+TEST_F(http_server_test, reads_a_body_in_chunks)
+{
+    const auto client = connect();
+    const std::string bytes = "POST /first HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n"
+                              "\r\n3;note=1\r\nabc\r\nA\r\n0123456789\r\n0\r\nTrailer: t\r\n\r\n"
+                              "GET /second HTTP/1.1\r\nHost: x\r\n\r\n";
+    for (const char each : bytes.substr(0, bytes.size() - 1)) {
+        client.send(std::string(1, each));
+    }
+    EXPECT_NE(client.receive_message().find("/first"), std::string::npos);
+    client.send(bytes.substr(bytes.size() - 1));
+    EXPECT_NE(client.receive_message().find("/second"), std::string::npos);
+    const std::lock_guard lock{mutex_};
+    ASSERT_EQ(requests_.size(), 2U);
+    EXPECT_EQ(requests_[0].body, "abc0123456789");
+    EXPECT_EQ(requests_[1].body, "");
+}
+
+// Guards against limits that stay as they were when the server started.
+TEST_F(http_server_test, follows_changed_limits)
+{
+    std::atomic<std::size_t> body_bytes = 4;
+    options_.current_limits = [&] {
+        http_server_limits limits;
+        limits.max_body_bytes = body_bytes;
+        return limits;
+    };
+    start();
+    const std::string request = "POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: 8\r\n\r\n12345678";
+    EXPECT_EQ(answer_and_close(request).rfind("HTTP/1.1 413", 0), 0U);
+    body_bytes = 8;
+    const auto client = connect();
+    client.send(request);
+    EXPECT_EQ(client.receive_message().rfind("HTTP/1.1 200", 0), 0U);
+}
+
 } // namespace
 } // namespace chestnutstand
