Carry calls between nodes over HTTP/1.1 on the platform

A silent connection was noticed after 12 s only.

The same Protobuf messages now travel as bodies over the Pistache server and the libcurl client that the node has anyway; node_carrier selects between the two. Sockets get TCP_USER_TIMEOUT and keep-alive.

--- a/include/chestnutstand/config/settings.h
+++ b/include/chestnutstand/config/settings.h
@@ -33,6 +33,11 @@
 
 inline constexpr name_table<caller_interface, 2> caller_interface_names{{"calls", "routes"}};
 
+/// What carries calls between nodes.
+enum class node_carrier : std::uint8_t { grpc, http };
+
+inline constexpr name_table<node_carrier, 2> node_carrier_names{{"grpc", "http"}};
+
 /// Limits of the retries to one service that all nodes together keep; a window of 0 means that each
 /// node has limits of its own.
 struct retry_settings {
@@ -69,6 +74,8 @@
     /// Authenticates idempotency keys; the same on all nodes.
     std::string cluster_secret;
     log_level lowest_log_level = log_level::info;
+    /// The same on all nodes.
+    node_carrier carrier = node_carrier::grpc;
     retry_settings retry_limits;
     std::uint32_t http_threads = 2;
     double drain_limit_ms = 30'000;
--- a/include/chestnutstand/transport/http_client.h
+++ b/include/chestnutstand/transport/http_client.h
@@ -2,6 +2,7 @@
 
 #include "chestnutstand/transport/call.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -46,7 +47,10 @@
     virtual void cancel(request_id id) = 0;
 };
 
+inline constexpr std::size_t default_response_limit = std::size_t{8} << 20U;
+
 /// Client over libcurl's multi interface with one thread and pooled connections.
-std::unique_ptr<http_client> make_http_client();
+std::unique_ptr<http_client>
+make_http_client(std::size_t max_response_bytes = default_response_limit);
 
 } // namespace chestnutstand
--- a/include/chestnutstand/transport/node_server.h
+++ b/include/chestnutstand/transport/node_server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "chestnutstand/transport/http_client.h"
 #include "chestnutstand/transport/peer_client.h"
 
 #include <absl/status/status.h>
@@ -32,19 +33,30 @@
     virtual void sync_members(std::vector<std::string> members, peer_client::members_done done) = 0;
 };
 
-/// gRPC server for calls from other nodes.
-class node_server {
+/// Server for calls from other nodes.
+class node_endpoint {
 public:
-    node_server(std::string address, std::uint16_t port, node_handler& handler);
-    node_server(const node_server&) = delete;
-    node_server& operator=(const node_server&) = delete;
-    ~node_server();
+    node_endpoint() = default;
+    node_endpoint(const node_endpoint&) = delete;
+    node_endpoint& operator=(const node_endpoint&) = delete;
+    virtual ~node_endpoint() = default;
+
+    virtual absl::Status start() = 0;
+    virtual std::uint16_t port() const = 0;
+
+    /// Ends the calls that still run, over gRPC after the limit and over HTTP at once. Idempotent.
+    virtual void stop(milliseconds limit) = 0;
+};
 
-    absl::Status start();
-    std::uint16_t port() const;
+/// Over gRPC.
+class node_server final : public node_endpoint {
+public:
+    node_server(std::string address, std::uint16_t port, node_handler& handler);
+    ~node_server() override;
 
-    /// Waits for running calls up to the limit, then cancels them. Idempotent.
-    void stop(milliseconds limit);
+    absl::Status start() override;
+    std::uint16_t port() const override;
+    void stop(milliseconds limit) override;
 
 private:
     struct state;
@@ -54,4 +66,11 @@
 /// Client for calls to other nodes, over one gRPC channel per peer.
 std::unique_ptr<peer_client> make_grpc_peer_client();
 
+/// Over HTTP/1.1 with the same messages.
+std::unique_ptr<node_endpoint> make_http_node_server(std::string address, std::uint16_t port,
+                                                     node_handler& handler);
+
+/// Client for nodes that serve over HTTP/1.1; the HTTP client must outlive it.
+std::unique_ptr<peer_client> make_http_peer_client(http_client& client);
+
 } // namespace chestnutstand
--- a/lib/config/settings_file.cpp
+++ b/lib/config/settings_file.cpp
@@ -120,6 +120,11 @@
     return keys;
 }
 
+node_carrier carrier_from(const std::string& name)
+{
+    return node_carrier_names.find(name).value_or(node_carrier::grpc);
+}
+
 const schema::object_schema<retry_settings>& retry_keys()
 {
     static const schema::object_schema<retry_settings> keys{
@@ -157,6 +162,7 @@
         schema::text("cluster_secret", secret_format, &settings::cluster_secret),
         schema::choice("log_level", {"debug", "info", "warning", "error"}, 1,
                        &settings::lowest_log_level, log_level_from),
+        schema::choice("node_carrier", {"grpc", "http"}, 0, &settings::carrier, carrier_from),
         schema::object("retry_limits", retry_keys(), &settings::retry_limits),
         schema::integer("http_threads", "", {1, 64}, &settings::http_threads),
         schema::number("drain_limit_ms", "ms", {0, 600'000}, &settings::drain_limit_ms),
--- a/lib/node/components/node_endpoint_component.cpp
+++ b/lib/node/components/node_endpoint_component.cpp
@@ -68,7 +68,7 @@
     executor& executor_;
 };
 
-/// Serves other nodes over gRPC.
+/// Serves other nodes.
 class node_endpoint_component final : public component {
 public:
     std::vector<std::string_view> dependencies() const override { return {"config", "executor"}; }
@@ -76,9 +76,10 @@
     absl::Status start(kernel& node) override
     {
         handler_ = std::make_unique<local_node_handler>(node);
-        server_ = std::make_unique<node_server>(node.config().address, node.config().node_port,
-                                                *handler_);
-        node.provide(*server_);
+        const settings& own = node.config();
+        server_ = own.carrier == node_carrier::http
+                      ? make_http_node_server(own.address, own.node_port, *handler_)
+                      : std::make_unique<node_server>(own.address, own.node_port, *handler_);
         absl::Status status = server_->start();
         if (status.ok()) {
             node.ports().node = server_->port();
@@ -90,7 +91,7 @@
 
 private:
     std::unique_ptr<local_node_handler> handler_;
-    std::unique_ptr<node_server> server_;
+    std::unique_ptr<node_endpoint> server_;
 };
 
 const registration<node_endpoint_component, component> registered{"node_endpoint"};
--- a/lib/node/kernel.cpp
+++ b/lib/node/kernel.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr milliseconds idle_poll_interval{10};
+/// Answers are held in memory as a whole, at both nodes on their way.
+constexpr std::size_t max_response_bytes = std::size_t{64} << 20U;
 
 std::uint64_t random_instance()
 {
@@ -33,8 +35,10 @@
 void component::stop(kernel& /*node*/) {}
 
 kernel::kernel(settings own_settings)
-    : settings_{std::move(own_settings)}, instance_{random_instance()}, http_{make_http_client()},
-      peers_{make_grpc_peer_client()}
+    : settings_{std::move(own_settings)}, instance_{random_instance()},
+      http_{make_http_client(max_response_bytes)}, peers_{settings_.carrier == node_carrier::http
+                                                              ? make_http_peer_client(*http_)
+                                                              : make_grpc_peer_client()}
 {
 }
 
--- a/lib/transport/curl_client.cpp
+++ b/lib/transport/curl_client.cpp
@@ -7,6 +7,9 @@
 #include <cmath>
 #include <cstdlib>
 #include <mutex>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 #include <thread>
 #include <unordered_map>
 #include <utility>
@@ -15,10 +18,12 @@
 namespace chestnutstand {
 namespace {
 
-constexpr std::size_t max_response_bytes = std::size_t{8} << 20U;
-constexpr long connect_timeout_ms = 1'000;
+constexpr long connect_timeout_ms = 300;
 // Middleboxes forget idle connections; an old pooled connection may swallow a request.
 constexpr long max_idle_seconds = 10;
+// Several retransmissions within a data centre and one across regions.
+constexpr unsigned unacknowledged_limit_ms = 750;
+constexpr int keepalive_seconds = 2;
 constexpr long max_pooled_connections = 256;
 constexpr int poll_timeout_ms = 1'000;
 constexpr int status_no_content = 204;
@@ -37,6 +42,7 @@
     bool headers_complete = false;
     bool chunked = false;
     bool too_large = false;
+    std::size_t max_response_bytes = 0;
 
     transfer() = default;
     transfer(const transfer&) = delete;
@@ -81,7 +87,7 @@
 {
     auto& self = *static_cast<transfer*>(user);
     const std::size_t length = size * count;
-    if (self.result.response.body.size() + length > max_response_bytes) {
+    if (self.result.response.body.size() + length > self.max_response_bytes) {
         self.too_large = true;
         return 0;
     }
@@ -101,6 +107,19 @@
     return CURL_PREREQFUNC_OK;
 }
 
+/// Ends connections whose other side has gone or has forgotten them, so that neither a request nor
+/// a pooled connection waits for it until a deadline.
+int on_socket(void* /*user*/, curl_socket_t socket, curlsocktype /*purpose*/)
+{
+    const int on = 1;
+    ::setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged_limit_ms,
+                 sizeof unacknowledged_limit_ms);
+    ::setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+    ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &keepalive_seconds, sizeof keepalive_seconds);
+    ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &keepalive_seconds, sizeof keepalive_seconds);
+    return CURL_SOCKOPT_OK;
+}
+
 bool body_is_framed(const transfer& done)
 {
     const int status = done.result.response.status;
@@ -138,7 +157,8 @@
 
 class curl_client final : public http_client {
 public:
-    curl_client() : multi_{curl_multi_init()}
+    explicit curl_client(std::size_t max_response_bytes)
+        : max_response_bytes_{max_response_bytes}, multi_{curl_multi_init()}
     {
         curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, max_pooled_connections);
         thread_ = std::thread{[this] { run(); }};
@@ -164,6 +184,7 @@
         auto next = std::make_unique<transfer>();
         next->request = std::move(request);
         next->done = std::move(done);
+        next->max_response_bytes = max_response_bytes_;
         next->started = ms_clock::now();
         configure(*next, base_url, timeout);
         request_id id = 0;
@@ -194,6 +215,7 @@
     void finish(request_id id, http_error error);
     void cancel_all();
 
+    const std::size_t max_response_bytes_;
     CURLM* multi_;
     std::thread thread_;
     std::mutex mutex_;
@@ -219,6 +241,7 @@
     curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, std::max(1L, std::lround(timeout.count())));
     curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, connect_timeout_ms);
     curl_easy_setopt(handle, CURLOPT_MAXAGE_CONN, max_idle_seconds);
+    curl_easy_setopt(handle, CURLOPT_SOCKOPTFUNCTION, on_socket);
     curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, next.request.fresh_connection ? 1L : 0L);
     curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, on_request_start);
     curl_easy_setopt(handle, CURLOPT_PREREQDATA, &next);
@@ -331,13 +354,13 @@
 
 } // namespace
 
-std::unique_ptr<http_client> make_http_client()
+std::unique_ptr<http_client> make_http_client(std::size_t max_response_bytes)
 {
     static const CURLcode initialized = curl_global_init(CURL_GLOBAL_ALL);
     if (initialized != CURLE_OK) {
         std::abort();
     }
-    return std::make_unique<curl_client>();
+    return std::make_unique<curl_client>(max_response_bytes);
 }
 
 } // namespace chestnutstand
--- a/lib/transport/grpc_peer_client.cpp
+++ b/lib/transport/grpc_peer_client.cpp
@@ -1,5 +1,6 @@
 #include "chestnutstand/transport/node_server.h"
 
+#include "node_call_paths.h"
 #include "wire_convert.h"
 
 #include "node.grpc.pb.h"
@@ -21,9 +22,6 @@
 constexpr int max_reconnect_backoff_ms = 1'000;
 constexpr int min_reconnect_backoff_ms = 50;
 constexpr int max_message_bytes = 16 << 20;
-// Lets the executor's own answer, for example a timeout of its upstream, arrive before the call
-// between the nodes times out.
-constexpr milliseconds reply_grace{250};
 
 std::chrono::system_clock::time_point system_deadline(milliseconds timeout)
 {
@@ -69,11 +67,6 @@
     };
 }
 
-std::vector<std::string> members_of(const wire::SyncMembersMessage& message)
-{
-    return {message.members().begin(), message.members().end()};
-}
-
 class grpc_peer_client final : public peer_client {
 public:
     void execute(const node_reference& target, const call& what, call_done done) override
@@ -142,8 +135,9 @@
             std::make_shared<unary_call<wire::SyncMembersMessage, wire::SyncMembersMessage>>();
         state->request.mutable_members()->Add(members.begin(), members.end());
         state->context.set_deadline(system_deadline(timeout));
-        stub_of(target)->async()->SyncMembers(&state->context, &state->request, &state->reply,
-                                              on_reply(state, std::move(done), members_of));
+        stub_of(target)->async()->SyncMembers(
+            &state->context, &state->request, &state->reply,
+            on_reply(state, std::move(done), [](const auto& reply) { return from_wire(reply); }));
     }
 
 private:
--- /dev/null
+++ b/lib/transport/http_peer_client.cpp
@@ -0,0 +1,177 @@
+#include "chestnutstand/transport/node_server.h"
+
+#include "node_call_paths.h"
+#include "wire_convert.h"
+
+#include "chestnutstand/support/str_cat.h"
+#include "chestnutstand/transport/http_client.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace chestnutstand {
+namespace {
+
+constexpr int status_ok = 200;
+constexpr int status_unavailable = 503;
+
+std::string url_of(const node_reference& target)
+{
+    return str_cat("http://", target.address, ":", target.node_port);
+}
+
+absl::Status status_of(const http_result& result)
+{
+    if (result.error == http_error::connect_failed) {
+        return absl::UnavailableError("no connection to the node");
+    }
+    if (result.error == http_error::timed_out) {
+        return absl::DeadlineExceededError("the node did not answer in time");
+    }
+    if (result.error != http_error::none) {
+        return absl::UnknownError("the connection to the node was lost");
+    }
+    if (result.response.status == status_ok) {
+        return absl::OkStatus();
+    }
+    const std::string message = str_cat("the node answered with status ", result.response.status,
+                                        ": ", result.response.body);
+    return result.response.status == status_unavailable ? absl::UnavailableError(message)
+                                                        : absl::UnknownError(message);
+}
+
+/// What the end of an exchange says about a call. Only a connection that was never made proves that
+/// the node has not got it.
+call_result result_of(const http_result& result)
+{
+    if (result.error == http_error::connect_failed) {
+        return not_run(reason::peer_unreachable);
+    }
+    wire::ExecuteReply reply;
+    if (!status_of(result).ok() || !reply.ParseFromString(result.response.body)) {
+        return unknown_outcome(reason::peer_connection_lost);
+    }
+    return from_wire(reply);
+}
+
+/// A failed connection proves nothing when an earlier copy of the call may have run.
+call_result without_proof(call_result result)
+{
+    const bool no_reply = !result.load && (result.why == reason::peer_unreachable ||
+                                           result.why == reason::peer_connection_lost);
+    return no_reply ? unknown_outcome(reason::owner_unreachable) : std::move(result);
+}
+
+class http_peer_client final : public peer_client {
+public:
+    explicit http_peer_client(http_client& client) : client_{client} {}
+
+    void execute(const node_reference& target, const call& what, call_done done) override
+    {
+        wire::ExecuteRequest request;
+        request.set_target_instance(target.instance);
+        *request.mutable_call() = to_wire(what);
+        send_call(target, node_path::execute, request, what,
+                  [done = std::move(done)](const http_result& result) { done(result_of(result)); });
+    }
+
+    void forward(const node_reference& owner, const call& what, bool query_only,
+                 call_done done) override
+    {
+        wire::ForwardRequest request;
+        request.set_target_instance(owner.instance);
+        request.set_query_only(query_only);
+        *request.mutable_call() = to_wire(what);
+        send_call(owner, node_path::forward, request, what,
+                  [done = std::move(done)](const http_result& result) {
+                      done(without_proof(result_of(result)));
+                  });
+    }
+
+    void settle(const node_reference& executor, const std::string& key, milliseconds timeout,
+                settle_done done) override
+    {
+        wire::SettleRequest request;
+        request.set_target_instance(executor.instance);
+        request.set_idempotency_key(key);
+        // The connection that lost the answer may lose this one as well.
+        query<wire::SettleReply>(executor, node_path::settle, request, timeout, true,
+                                 std::move(done));
+    }
+
+    void probe(const node_reference& target, milliseconds timeout, probe_done done) override
+    {
+        query<wire::LoadReport>(target, node_path::probe, wire::ProbeRequest{}, timeout, false,
+                                std::move(done));
+    }
+
+    void fetch_changes(const node_reference& target, std::uint64_t from_offset,
+                       milliseconds timeout, changes_done done) override
+    {
+        wire::FetchChangesRequest request;
+        request.set_from_offset(from_offset);
+        query<wire::FetchChangesReply>(target, node_path::changes, request, timeout, false,
+                                       std::move(done));
+    }
+
+    void sync_members(const node_reference& target, std::vector<std::string> members,
+                      milliseconds timeout, members_done done) override
+    {
+        wire::SyncMembersMessage request;
+        request.mutable_members()->Add(members.begin(), members.end());
+        query<wire::SyncMembersMessage>(target, node_path::members, request, timeout, false,
+                                        std::move(done));
+    }
+
+private:
+    template <typename Request>
+    static http_request make_request(const char* path, const Request& request)
+    {
+        return {"POST", path, {}, request.SerializeAsString()};
+    }
+
+    template <typename Request>
+    void send_call(const node_reference& target, const char* path, const Request& request,
+                   const call& what, http_client::http_done done)
+    {
+        const milliseconds left = what.deadline - ms_clock::now() + reply_grace;
+        const auto id = client_.send(url_of(target), make_request(path, request),
+                                     std::max(left, milliseconds{1}), std::move(done));
+        if (what.cancel) {
+            what.cancel->on_cancel([&client = client_, id] { client.cancel(id); });
+        }
+    }
+
+    template <typename Reply, typename Request, typename Done>
+    void query(const node_reference& target, const char* path, const Request& request,
+               milliseconds timeout, bool fresh_connection, Done done)
+    {
+        http_request made = make_request(path, request);
+        made.fresh_connection = fresh_connection;
+        client_.send(url_of(target), std::move(made), timeout,
+                     [done = std::move(done)](const http_result& result) {
+                         const auto status = status_of(result);
+                         Reply reply;
+                         if (!status.ok()) {
+                             done(status);
+                         }
+                         else if (!reply.ParseFromString(result.response.body)) {
+                             done(absl::DataLossError("the answer of the node is not readable"));
+                         }
+                         else {
+                             done(from_wire(reply));
+                         }
+                     });
+    }
+
+    http_client& client_;
+};
+
+} // namespace
+
+std::unique_ptr<peer_client> make_http_peer_client(http_client& client)
+{
+    return std::make_unique<http_peer_client>(client);
+}
+
+} // namespace chestnutstand
--- a/lib/transport/wire_convert.cpp
+++ b/lib/transport/wire_convert.cpp
@@ -216,4 +216,16 @@
     return changes;
 }
 
+wire::SyncMembersMessage to_wire(const std::vector<std::string>& members)
+{
+    wire::SyncMembersMessage message;
+    message.mutable_members()->Add(members.begin(), members.end());
+    return message;
+}
+
+std::vector<std::string> from_wire(const wire::SyncMembersMessage& message)
+{
+    return {message.members().begin(), message.members().end()};
+}
+
 } // namespace chestnutstand
--- a/lib/transport/wire_convert.h
+++ b/lib/transport/wire_convert.h
@@ -23,4 +23,7 @@
 wire::FetchChangesReply to_wire(const fetched_changes& changes);
 fetched_changes from_wire(const wire::FetchChangesReply& reply);
 
+wire::SyncMembersMessage to_wire(const std::vector<std::string>& members);
+std::vector<std::string> from_wire(const wire::SyncMembersMessage& message);
+
 } // namespace chestnutstand
