--- a/include/chestnutstand/config/settings.h
+++ b/include/chestnutstand/config/settings.h
@@ -80,6 +80,8 @@
     std::uint32_t http_threads = 2;
     double drain_limit_ms = 30'000;
     double lame_duck_ms = 2'000;
+    /// Time from SIGTERM to SIGKILL; when set, it decides about the two before.
+    double grace_s = 0;
     double log_retention_ms = 86'400'000;
 };
 
--- a/include/chestnutstand/node/executor.h
+++ b/include/chestnutstand/node/executor.h
@@ -71,6 +71,8 @@
         std::optional<key_id> key;
         std::string base_url;
         std::string upstream_id;
+        time_point offered_at;
+        time_point started_at;
         bool started = false;
         bool cancelled = false;
         std::optional<http_client::request_id> request;
@@ -82,6 +84,7 @@
         std::optional<key_id> key;
         reason why = reason::none;
         load_report load;
+        std::string request_id;
     };
 
     /// What has to be done after the mutex is released, as it runs callbacks or sends.
@@ -109,6 +112,8 @@
     void cancel(const execution_ptr& what);
     void finish(const execution_ptr& what, http_result result);
     load_report report_locked() const;
+    void log_execution(const execution& what, const call_result& ended, time_point now) const;
+    static void log_refusal(const refused_call& refused);
     void observe_pace(const http_result& result, time_point now);
     void refresh_pace(time_point now);
     void follow_pace(time_point now);
--- a/include/chestnutstand/node/upstream_registry.h
+++ b/include/chestnutstand/node/upstream_registry.h
@@ -39,9 +39,20 @@
 public:
     using listener = std::function<void(const std::optional<local_upstream>&)>;
 
+    /// Asks an upstream whether it is healthy and stays; ends with a call of confirm() if so.
+    using verifier = std::function<void(const local_upstream& upstream, std::uint64_t born_ms)>;
+
     /// The listener runs when an upstream appears, changes or goes.
     explicit upstream_registry(listener changed);
 
+    /// Upstream processes that were born before this time (Unix, milliseconds) may have told an
+    /// earlier process of this node that they leave, and a late heartbeat may contradict that. They
+    /// are admitted once they confirm, or once several heartbeats in a row say that they are ready.
+    void verify_born_before(std::uint64_t unix_ms, verifier verify);
+
+    /// The process has answered that it is healthy and stays.
+    void confirm(const std::string& id, std::uint64_t born_ms, time_point now);
+
     /// Registers the upstream or renews its lease. When it returns after a heartbeat that says
     /// draining, the listener has withdrawn the upstream.
     heartbeat_verdict announce(const upstream_heartbeat& heartbeat, time_point now);
@@ -69,6 +80,7 @@
 
     bool is_outdated(const upstream_heartbeat& heartbeat) const;
     bool has_left(const upstream_heartbeat& heartbeat) const;
+    bool may_admit(const upstream_heartbeat& heartbeat);
 
     listener changed_;
     std::optional<local_upstream> current_;
@@ -78,6 +90,13 @@
     std::uint64_t born_ms_ = 0;
     std::uint64_t sequence_ = 0;
     std::deque<departure> departures_;
+    std::uint64_t verify_before_ms_ = 0;
+    verifier verify_;
+    /// Ready heartbeats of the newest process while it is not confirmed.
+    std::uint32_t unconfirmed_ = 0;
+    bool confirmed_ = false;
+    /// What it registered with last.
+    local_upstream candidate_;
 };
 
 } // namespace chestnutstand
--- a/include/chestnutstand/support/clock.h
+++ b/include/chestnutstand/support/clock.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <ctime>
 
 namespace chestnutstand {
@@ -24,6 +25,14 @@
     }
 };
 
+/// Time of day in milliseconds, for comparison with times that other processes on the VM state.
+inline std::uint64_t unix_now_ms()
+{
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(
+                                          std::chrono::system_clock::now().time_since_epoch())
+                                          .count());
+}
+
 using milliseconds = ms_clock::duration;
 using time_point = ms_clock::time_point;
 
--- a/include/chestnutstand/support/log.h
+++ b/include/chestnutstand/support/log.h
@@ -16,13 +16,14 @@
     std::variant<std::string, double, std::int64_t, std::uint64_t, bool> value;
 };
 
-/// Starts logging of JSON lines to standard error. Levels: debug, info, warning, error.
+/// Starts logging of JSON lines to standard output. Levels: debug, info, warning, error.
 void init_logging(log_level lowest);
 
 /// Level of a name, or info when the name is none of the four.
 log_level log_level_from(std::string_view name);
 
-/// Writes one JSON line with the message and the fields.
+/// Writes one JSON line with the message and the fields. Never blocks; the lines per second of one
+/// message are bounded, and the next line tells how many were left out.
 void log_event(log_level level, std::string_view message,
                std::initializer_list<log_field> fields = {});
 
--- a/lib/config/settings_file.cpp
+++ b/lib/config/settings_file.cpp
@@ -17,6 +17,10 @@
 namespace chestnutstand {
 namespace {
 
+// Shares of the grace time: calls are taken while the news of the stop spreads, and what still runs
+// is ended in time for the process to stop by itself.
+constexpr double lame_duck_share = 0.4;
+constexpr double drain_share = 0.9;
 constexpr std::size_t min_secret_length = 16;
 constexpr std::size_t max_secret_length = 256;
 
@@ -167,6 +171,7 @@
         schema::integer("http_threads", "", {1, 64}, &settings::http_threads),
         schema::number("drain_limit_ms", "ms", {0, 600'000}, &settings::drain_limit_ms),
         schema::number("lame_duck_ms", "ms", {0, 60'000}, &settings::lame_duck_ms),
+        schema::number("grace_s", "s", {0, 3'600}, &settings::grace_s),
         schema::number("log_retention_ms", "ms", {1'000, 31'536'000'000.0},
                        &settings::log_retention_ms),
     };
@@ -201,6 +206,10 @@
         return invalid_value(top.key("cluster_secret"),
                              "required key is missing, expected a text of 16 to 256 bytes");
     }
+    if (result.grace_s > 0) {
+        result.lame_duck_ms = result.grace_s * 1'000 * lame_duck_share;
+        result.drain_limit_ms = result.grace_s * 1'000 * drain_share;
+    }
     return result;
 }
 
--- a/lib/node/admin_api.cpp
+++ b/lib/node/admin_api.cpp
@@ -11,7 +11,6 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <chrono>
 #include <csignal>
 #include <optional>
 #include <string_view>
@@ -122,13 +121,6 @@
     return heartbeat;
 }
 
-std::uint64_t unix_now_ms()
-{
-    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(
-                                          std::chrono::system_clock::now().time_since_epoch())
-                                          .count());
-}
-
 json describe(const member& each)
 {
     return {{"instance", absl::StrCat(absl::Hex(each.node.instance))},
--- a/lib/node/components/executor_component.cpp
+++ b/lib/node/components/executor_component.cpp
@@ -3,6 +3,7 @@
 #include "chestnutstand/node/executor.h"
 #include "chestnutstand/node/kernel.h"
 #include "chestnutstand/node/upstream_registry.h"
+#include "chestnutstand/support/log.h"
 
 #include <memory>
 #include <optional>
@@ -11,6 +12,7 @@
 namespace {
 
 constexpr milliseconds lease_check_interval{500};
+constexpr milliseconds health_timeout{500};
 constexpr milliseconds extra_key_lifetime{60'000};
 // Bounds how late a queued call learns that its time has passed while no other call ends. At 10 ms
 // the polling took most of the idle processor time of a node.
@@ -41,6 +43,10 @@
                                                 upstream ? upstream->slots : 0);
                 }
             });
+        registry_->verify_born_before(
+            unix_now_ms(), [this, &node](const local_upstream& upstream, std::uint64_t born_ms) {
+                ask_upstream(node, upstream, born_ms);
+            });
         node.provide(*keys_);
         node.provide(*executor_);
         node.provide(*registry_);
@@ -53,6 +59,35 @@
     bool idle() const override { return executor_->idle(); }
 
 private:
+    /// Confirms an upstream that answers its health path with 200. One without such a path cannot
+    /// be asked.
+    void ask_upstream(kernel& node, const local_upstream& upstream, std::uint64_t born_ms)
+    {
+        const auto confirm = [this, &node, id = upstream.id, born_ms] {
+            node.control().post(
+                [this, id, born_ms] { registry_->confirm(id, born_ms, ms_clock::now()); });
+        };
+        const auto* config = node.find<configuration>();
+        const auto in_force = config != nullptr ? config->current().load() : nullptr;
+        const auto* service = in_force ? in_force->find_service(upstream.service) : nullptr;
+        if (service == nullptr || service->health_path.empty()) {
+            confirm();
+            return;
+        }
+        node.http().send(upstream.base_url, {"GET", service->health_path, {}, ""}, health_timeout,
+                         [confirm, id = upstream.id](const http_result& result) {
+                             const bool healthy =
+                                 result.error == http_error::none && result.response.status == 200;
+                             log_event(log_level::info, "upstream asked before its admission",
+                                       {{"upstream", id},
+                                        {"healthy", healthy},
+                                        {"status", std::int64_t{result.response.status}}});
+                             if (healthy) {
+                                 confirm();
+                             }
+                         });
+    }
+
     std::unique_ptr<executor_keys> keys_;
     std::unique_ptr<executor> executor_;
     std::unique_ptr<upstream_registry> registry_;
--- a/lib/node/dispatcher.cpp
+++ b/lib/node/dispatcher.cpp
@@ -1,5 +1,9 @@
 #include "chestnutstand/node/dispatcher.h"
 
+#include "chestnutstand/support/log.h"
+
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
 #include <atomic>
 #include <mutex>
@@ -51,6 +55,7 @@
     const call_done done;
     const bool idempotent;
 
+    const time_point started = ms_clock::now();
     std::mutex mutex;
     tree_budget budget;
     std::vector<std::uint64_t> tried;
@@ -61,11 +66,24 @@
     /// One for each attempt, so that the attempts that lose against a hedge can be ended.
     std::vector<std::shared_ptr<cancellation>> cancels;
     std::size_t placements = 0;
+    std::uint64_t document_version = 0;
+    /// What became of the attempts, for the log line of the call.
+    std::string history;
     std::size_t running = 0;
     bool finished = false;
     /// The result that says most about whether the call ran.
     std::optional<call_result> failure;
 
+    void note_attempt(const call_result& result)
+    {
+        history += history.empty() ? "" : " ";
+        history += result.outcome == outcome::completed ? std::to_string(result.response.status)
+                                                        : std::string{to_string(result.why)};
+        if (result.load) {
+            history += "@" + absl::StrCat(absl::Hex(result.load->instance));
+        }
+    }
+
     /// Makes the members that only were slow eligible again; false when there are none.
     bool settle_for_slow()
     {
@@ -96,6 +114,27 @@
     }
 }
 
+/// Gives the caller its answer, with one log line that says how it came about.
+void answer(dispatched_call& ended, call_result result)
+{
+    if (ended.what.repeat != repeatability::by_class) {
+        const bool completed = result.outcome == outcome::completed;
+        log_event(log_level::info, "call answered",
+                  {{"request_id", ended.what.request_id},
+                   {"service", ended.what.service},
+                   {"class", ended.what.priority},
+                   {"document_version", ended.document_version},
+                   {"outcome", std::string{to_string(result.outcome)}},
+                   {"reason", std::string{to_string(result.why)}},
+                   {"status", std::int64_t{completed ? result.response.status : 0}},
+                   {"attempts", ended.history},
+                   {"placements", std::uint64_t{ended.placements}},
+                   {"elapsed_ms", (ms_clock::now() - ended.started).count()},
+                   {"left_ms", (ended.what.deadline - ms_clock::now()).count()}});
+    }
+    ended.done(std::move(result));
+}
+
 /// Ends attempts that lost against a hedge; their upstreams need not finish them.
 void end_other_attempts(dispatched_call& running)
 {
@@ -187,6 +226,7 @@
         return;
     }
     const auto running = std::make_shared<dispatched_call>(what, std::move(done), idempotent);
+    running->document_version = configuration->version;
     if (!start_attempt(running)) {
         refuse(reason::no_route, running->done);
         return;
@@ -217,7 +257,7 @@
                                    return;
                                }
                            }
-                           late->done(unknown_outcome(reason::time_limit));
+                           answer(*late, unknown_outcome(reason::time_limit));
                        });
 }
 
@@ -275,6 +315,7 @@
         if (running->finished) {
             return;
         }
+        running->note_attempt(result);
         if (result.why == reason::upstream_slow && result.load) {
             running->slow.push_back(result.load->instance);
         }
@@ -290,7 +331,7 @@
         }
     }
     if (is_last_word) {
-        running->done(std::move(result));
+        answer(*running, std::move(result));
         end_other_attempts(*running);
         return;
     }
@@ -304,7 +345,7 @@
         }
         running->finished = true;
     }
-    running->done(std::move(*running->failure));
+    answer(*running, std::move(*running->failure));
 }
 
 bool dispatcher::core::retry(const call_state& running, const call_result& result)
--- a/lib/node/executor.cpp
+++ b/lib/node/executor.cpp
@@ -206,11 +206,12 @@
         const std::lock_guard lock{mutex_};
         apply_configuration(now);
         if (const auto why = refusal(target_instance, what, now)) {
-            next.refusals.push_back({done, key, *why, report_locked()});
+            next.refusals.push_back({done, key, *why, report_locked(), what.request_id});
         }
         else {
             auto offered = std::make_shared<execution>();
             offered->id = ++last_id_;
+            offered->offered_at = now;
             offered->what = std::move(what);
             offered->done = done;
             offered->key = key;
@@ -225,7 +226,8 @@
     const auto priority = find_class(what->what).value();
     const auto offered = queue_->offer(what->id, priority, what->what.deadline, now);
     if (offered.result == offer_state::refused) {
-        next.refusals.push_back({what->done, what->key, offered.why, report_locked()});
+        next.refusals.push_back(
+            {what->done, what->key, offered.why, report_locked(), what->what.request_id});
         return;
     }
     executions_[what->id] = what;
@@ -249,7 +251,8 @@
             continue;
         }
         executions_.erase(found);
-        next.refusals.push_back({what->done, what->key, decision->refusal, report_locked()});
+        next.refusals.push_back(
+            {what->done, what->key, decision->refusal, report_locked(), what->what.request_id});
     }
 }
 
@@ -274,6 +277,7 @@
     what.base_url = upstream_->base_url;
     what.upstream_id = upstream_->id;
     what.started = true;
+    what.started_at = ms_clock::now();
     return true;
 }
 
@@ -285,7 +289,7 @@
             ++at;
             continue;
         }
-        next.refusals.push_back({what.done, what.key, why, report_locked()});
+        next.refusals.push_back({what.done, what.key, why, report_locked(), what.what.request_id});
         at = executions_.erase(at);
     }
 }
@@ -297,6 +301,7 @@
     }
     for (auto& each : next.refusals) {
         stats_.count(reason_event::refused, each.why);
+        log_refusal(each);
         if (each.key) {
             keys_.refuse(*each.key, each.why, ms_clock::now());
             continue;
@@ -340,8 +345,8 @@
         if (!what->started) {
             if (executions_.erase(what->id) > 0) {
                 queue_->remove(what->id);
-                next.refusals.push_back(
-                    {what->done, what->key, reason::caller_gone, report_locked()});
+                next.refusals.push_back({what->done, what->key, reason::caller_gone,
+                                         report_locked(), what->what.request_id});
             }
         }
         else {
@@ -377,6 +382,7 @@
     if (ended.outcome == outcome::unknown) {
         stats_.count(reason_event::unknown_outcome, ended.why);
     }
+    log_execution(*what, ended, now);
     if (what->key) {
         keys_.finish(*what->key, std::move(ended), now);
         return;
@@ -404,6 +410,39 @@
     }
 }
 
+void executor::log_execution(const execution& what, const call_result& ended, time_point now) const
+{
+    const bool completed = ended.outcome == outcome::completed;
+    log_event(log_level::info, "call executed",
+              {{"request_id", what.what.request_id},
+               {"upstream", what.upstream_id},
+               {"class", what.what.priority},
+               {"outcome", std::string{to_string(ended.outcome)}},
+               {"reason", std::string{to_string(ended.why)}},
+               {"status", std::int64_t{completed ? ended.response.status : 0}},
+               {"waited_ms", (what.started_at - what.offered_at).count()},
+               {"run_ms", (now - what.started_at).count()},
+               {"in_flight", std::uint64_t{ended.load ? ended.load->in_flight : 0}},
+               {"limit", std::uint64_t{ended.load ? ended.load->limit : 0}},
+               {"pace", ended.load ? ended.load->pace : 1.0}});
+}
+
+void executor::log_refusal(const refused_call& refused)
+{
+    std::uint64_t queued = 0;
+    for (const auto& queue : refused.load.queues) {
+        queued += queue.length;
+    }
+    log_event(log_level::info, "call refused",
+              {{"request_id", refused.request_id},
+               {"reason", std::string{to_string(refused.why)}},
+               {"in_flight", std::uint64_t{refused.load.in_flight}},
+               {"queued", queued},
+               {"limit", std::uint64_t{refused.load.limit}},
+               {"latency_ms", refused.load.latency.count()},
+               {"pace", refused.load.pace}});
+}
+
 /// Hands the pace to the queue, which holds requests while the upstream is slow.
 void executor::follow_pace(time_point now)
 {
--- a/lib/node/ingress.cpp
+++ b/lib/node/ingress.cpp
@@ -2,6 +2,7 @@
 
 #include "chestnutstand/node/call_parser.h"
 #include "chestnutstand/node/problem.h"
+#include "chestnutstand/support/log.h"
 #include "chestnutstand/transport/headers.h"
 
 #include <absl/strings/numbers.h>
@@ -18,6 +19,7 @@
 constexpr std::string_view keys_prefix = "/keys/";
 constexpr std::string_view outcome_target = "/outcome";
 constexpr std::string_view count_parameter = "count=";
+constexpr std::size_t max_logged_target = 200;
 constexpr std::size_t max_keys_per_request = 1'000;
 /// Time that a query may take to reach the owner or to settle the key.
 constexpr milliseconds query_limit{2'000};
@@ -183,6 +185,13 @@
                      std::string_view detail)
 {
     stats_.count(reason_event::refused, why);
+    log_event(
+        log_level::info, "request refused",
+        {{"request_id",
+          std::string{find_header(request.headers, options_.headers.request_id).value_or("")}},
+         {"reason", std::string{to_string(why)}},
+         {"detail", std::string{detail}},
+         {"target", request.target.substr(0, max_logged_target)}});
     const bool keyed = options_.interface_for_callers == caller_interface::calls &&
                        find_header(request.headers, header::idempotency_key).has_value();
     send(response, make_problem(keyed ? outcome::unknown : outcome::not_run, why, detail));
--- a/lib/node/upstream_registry.cpp
+++ b/lib/node/upstream_registry.cpp
@@ -12,6 +12,8 @@
 constexpr milliseconds lease_time{5'000};
 // Processes follow each other at one address; a late message of an older one is rare.
 constexpr std::size_t max_departures = 16;
+// A late heartbeat comes alone; an upstream whose health answer is wrong goes on sending them.
+constexpr std::uint32_t trusted_heartbeats = 3;
 
 } // namespace
 
@@ -32,6 +34,38 @@
     });
 }
 
+void upstream_registry::verify_born_before(std::uint64_t unix_ms, verifier verify)
+{
+    verify_before_ms_ = unix_ms;
+    verify_ = std::move(verify);
+}
+
+bool upstream_registry::may_admit(const upstream_heartbeat& heartbeat)
+{
+    if (confirmed_ || !verify_) {
+        return true;
+    }
+    candidate_ = heartbeat.upstream;
+    if (++unconfirmed_ >= trusted_heartbeats) {
+        confirmed_ = true;
+        return true;
+    }
+    verify_(candidate_, born_ms_);
+    return false;
+}
+
+void upstream_registry::confirm(const std::string& id, std::uint64_t born_ms, time_point now)
+{
+    const bool left = std::any_of(departures_.begin(), departures_.end(), [&](const auto& each) {
+        return each.id == id && born_ms <= each.born_until_ms;
+    });
+    if (id != id_ || born_ms != born_ms_ || left || confirmed_) {
+        return;
+    }
+    confirmed_ = true;
+    announce(candidate_, now);
+}
+
 heartbeat_verdict upstream_registry::announce(const upstream_heartbeat& heartbeat, time_point now)
 {
     const auto& upstream = heartbeat.upstream;
@@ -52,12 +86,14 @@
                    {"before", id_}});
         id_ = upstream.id;
         born_ms_ = heartbeat.born_ms;
+        confirmed_ = heartbeat.born_ms >= verify_before_ms_;
+        unconfirmed_ = 0;
     }
     sequence_ = heartbeat.sequence;
     if (heartbeat.state == upstream_state::draining) {
         leave(id_, born_ms_, born_ms_);
     }
-    if (!has_left(heartbeat)) {
+    if (!has_left(heartbeat) && may_admit(heartbeat)) {
         announce(upstream, now);
     }
     return heartbeat_verdict::accepted;
--- a/lib/support/log.cpp
+++ b/lib/support/log.cpp
@@ -1,29 +1,57 @@
 #include "chestnutstand/support/log.h"
 
+#include "chestnutstand/support/log_limit.h"
 #include "chestnutstand/support/name_table.h"
 
-#include <log4cplus/consoleappender.h>
+#include <log4cplus/appender.h>
 #include <log4cplus/helpers/timehelper.h>
 #include <log4cplus/initializer.h>
-#include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/spi/loggingevent.h>
 
 #include <nlohmann/json.hpp>
 
-#include <chrono>
+#include <atomic>
+#include <climits>
 #include <memory>
+#include <mutex>
+#include <poll.h>
+#include <string>
+#include <unistd.h>
 
 namespace chestnutstand {
 namespace {
 
-/// Writes the already formatted JSON line as it is.
-class json_line_layout : public log4cplus::Layout {
+/// Lines that standard output did not take.
+std::atomic<std::uint64_t> lost_lines = 0;
+
+/// A pipe takes as many bytes at once, or none.
+constexpr std::size_t max_line_bytes = PIPE_BUF;
+/// Bounds of each kind of message; a node at its usual load stays below.
+constexpr double lines_per_s = 200.0;
+constexpr double line_burst = 400.0;
+
+/// Writes the already formatted JSON lines to standard output. A reader that does not keep up loses
+/// lines and never stops the process.
+class line_appender final : public log4cplus::Appender {
 public:
-    void formatAndAppend(log4cplus::tostream& output,
-                         const log4cplus::spi::InternalLoggingEvent& event) override
+    ~line_appender() override { destructorImpl(); }
+
+    void close() override { closed = true; }
+
+protected:
+    void append(const log4cplus::spi::InternalLoggingEvent& event) override
     {
-        output << event.getMessage() << '\n';
+        std::string line = event.getMessage();
+        if (line.size() >= max_line_bytes) {
+            line = R"({"level":"warning","message":"log line too long"})";
+        }
+        line += '\n';
+        pollfd output{STDOUT_FILENO, POLLOUT, 0};
+        const bool writable = ::poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
+        if (!writable || ::write(STDOUT_FILENO, line.data(), line.size()) < 0) {
+            ++lost_lines;
+        }
     }
 };
 
@@ -44,11 +72,12 @@
     return log4cplus::ERROR_LOG_LEVEL;
 }
 
-std::int64_t unix_time_ms()
+std::optional<std::uint64_t> admit_line(std::string_view kind)
 {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(
-               std::chrono::system_clock::now().time_since_epoch())
-        .count();
+    static std::mutex mutex;
+    static log_limit limit{lines_per_s, line_burst};
+    const std::lock_guard lock{mutex};
+    return limit.admit(kind, ms_clock::now());
 }
 
 } // namespace
@@ -63,10 +92,7 @@
     static log4cplus::Initializer initializer;
     auto logger = log4cplus::Logger::getRoot();
     logger.removeAllAppenders();
-    log4cplus::SharedAppenderPtr appender{
-        new log4cplus::ConsoleAppender{/*logToStdErr=*/true, /*immediateFlush=*/true}};
-    appender->setLayout(std::make_unique<json_line_layout>());
-    logger.addAppender(appender);
+    logger.addAppender(log4cplus::SharedAppenderPtr{new line_appender});
     logger.setLogLevel(to_log4cplus(lowest));
 }
 
@@ -77,13 +103,23 @@
     if (!logger.isEnabledFor(native_level)) {
         return;
     }
+    const auto left_out = admit_line(message);
+    if (!left_out) {
+        return;
+    }
     nlohmann::ordered_json line;
-    line["time_ms"] = unix_time_ms();
+    line["time_ms"] = unix_now_ms();
     line["level"] = level_names.name(level);
     line["message"] = message;
     for (const auto& field : fields) {
         std::visit([&](const auto& value) { line[std::string{field.key}] = value; }, field.value);
     }
+    if (*left_out > 0) {
+        line["lines_left_out"] = *left_out;
+    }
+    if (const auto lost = lost_lines.exchange(0); lost > 0) {
+        line["lines_lost"] = lost;
+    }
     // Invalid UTF-8 in a value must not stop the process.
     logger.forcedLog(native_level,
                      line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
--- a/unittests/node/upstream_registry_test.cpp
+++ b/unittests/node/upstream_registry_test.cpp
@@ -4,6 +4,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace chestnutstand {
 namespace {
@@ -104,5 +105,61 @@
     EXPECT_TRUE(admitted_);
 }
 
+class restarted_node : public upstream_registry_test {
+protected:
+    restarted_node()
+    {
+        registry_.verify_born_before(second_born,
+                                     [this](const local_upstream& upstream, std::uint64_t) {
+                                         asked_.push_back(upstream.id);
+                                     });
+    }
+
+    std::vector<std::string> asked_;
+};
+
+// Guards against a node that was killed after it had acknowledged a drain, starts again and
+// believes a late heartbeat from before the drain.
+TEST_F(restarted_node, does_not_admit_an_older_process_on_one_heartbeat)
+{
+    announce(heartbeat("a", first_born, 4));
+    EXPECT_FALSE(admitted_);
+    EXPECT_EQ(asked_.size(), 1U);
+    announce(heartbeat("a", first_born, 6, upstream_state::draining));
+    registry_.confirm("a", first_born, now_);
+    EXPECT_FALSE(admitted_);
+}
+
+// Guards against an upstream that gets no work after a restart of its node.
+TEST_F(restarted_node, admits_an_older_process_that_confirms)
+{
+    announce(heartbeat("a", first_born, 4));
+    registry_.confirm("b", first_born, now_);
+    EXPECT_FALSE(admitted_);
+    registry_.confirm("a", first_born, now_);
+    ASSERT_TRUE(admitted_);
+    EXPECT_EQ(admitted_->id, "a");
+    announce(heartbeat("a", first_born, 5));
+    EXPECT_EQ(asked_.size(), 1U);
+}
+
+// Guards against an upstream that is well and whose health answer says otherwise.
+TEST_F(restarted_node, admits_an_older_process_that_goes_on_sending_heartbeats)
+{
+    announce(heartbeat("a", first_born, 4));
+    announce(heartbeat("a", first_born, 5));
+    EXPECT_FALSE(admitted_);
+    announce(heartbeat("a", first_born, 6));
+    EXPECT_TRUE(admitted_);
+}
+
+// Guards against a new upstream that waits although no earlier process of the node can know it.
+TEST_F(restarted_node, admits_a_younger_process_at_once)
+{
+    announce(heartbeat("b", second_born, 1));
+    EXPECT_TRUE(admitted_);
+    EXPECT_TRUE(asked_.empty());
+}
+
 } // namespace
 } // namespace chestnutstand
