Settle at-most-once calls whose answer was lost between nodes

Cause: when the connection between two nodes broke, a call that must not repeat ended unknown, although the executor knows what became of it.

The executor keeps a ledger of the request ids of such calls and asks it in the critical section that commits to run one. A node that lost an answer settles the id over a new connection: a call that has not started is fenced and moved on, an answer that was kept is delivered, anything else stays unknown.

Ruled out: keys issued by nodes, which this platform's callers do not have.

--- a/include/chestnutstand/node/executor.h
+++ b/include/chestnutstand/node/executor.h
@@ -4,6 +4,7 @@
 #include "chestnutstand/admission/load_prober.h"
 #include "chestnutstand/admission/upstream_pace.h"
 #include "chestnutstand/config/document.h"
+#include "chestnutstand/keys/attempt_ledger.h"
 #include "chestnutstand/keys/executor_keys.h"
 #include "chestnutstand/support/metrics.h"
 #include "chestnutstand/transport/headers.h"
@@ -59,6 +60,10 @@
     void poll(time_point now);
 
     load_report report() const;
+
+    /// State of a call that runs at most once, by its request id; fences it unless it has started.
+    settle_result settle_attempt(const std::string& request_id);
+
     bool idle() const;
 
 private:
@@ -106,6 +111,7 @@
     void take_decisions(time_point now, follow_up& next);
     bool commit_to_start(execution& what);
     void start(const execution_ptr& what, time_point now, follow_up& next);
+    void forget_attempt(const execution& what);
     void refuse_waiting(reason why, follow_up& next);
     void run(follow_up next);
     void send(const execution_ptr& what);
@@ -133,6 +139,7 @@
     std::optional<admission_queue> queue_;
     std::unordered_map<std::uint64_t, execution_ptr> executions_;
     std::uint64_t last_id_ = 0;
+    attempt_ledger attempts_;
     upstream_pace pace_;
     bool probing_pace_ = false;
     bool draining_ = false;
--- a/include/chestnutstand/transport/peer_client.h
+++ b/include/chestnutstand/transport/peer_client.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "chestnutstand/support/name_table.h"
 #include "chestnutstand/transport/call.h"
 
 #include <absl/status/statusor.h>
@@ -24,6 +25,9 @@
 /// What an executor knows of a key.
 enum class settle_state : std::uint8_t { completed, running, fenced, unknown, wrong_instance };
 
+inline constexpr name_table<settle_state, 5> settle_state_names{
+    {"completed", "running", "fenced", "unknown", "wrong_instance"}};
+
 struct settle_result {
     settle_state state = settle_state::unknown;
     /// Set when the state is completed.
--- a/lib/node/components/node_endpoint_component.cpp
+++ b/lib/node/components/node_endpoint_component.cpp
@@ -39,6 +39,9 @@
         if (target_instance != node_.instance()) {
             return settle_result{settle_state::wrong_instance, {}, reason::wrong_instance, {}};
         }
+        if (const auto attempt = attempt_of_key(key); !attempt.empty()) {
+            return executor_.settle_attempt(std::string{attempt});
+        }
         return node_.get<executor_keys>().settle(key, ms_clock::now());
     }
 
--- a/lib/node/dispatcher.cpp
+++ b/lib/node/dispatcher.cpp
@@ -1,5 +1,6 @@
 #include "chestnutstand/node/dispatcher.h"
 
+#include "chestnutstand/keys/attempt_ledger.h"
 #include "chestnutstand/support/log.h"
 
 #include <absl/strings/str_cat.h>
@@ -22,6 +23,9 @@
 
 constexpr milliseconds probe_timeout{300};
 
+/// A new connection and one answer, also across regions.
+constexpr milliseconds settle_timeout{250};
+
 template <typename Named>
 const Named* find_named(const std::vector<Named>& entries, std::string_view name)
 {
@@ -76,11 +80,12 @@
 
     void note_attempt(const call_result& result)
     {
-        history += history.empty() ? "" : " ";
-        history += result.outcome == outcome::completed ? std::to_string(result.response.status)
-                                                        : std::string{to_string(result.why)};
+        const std::string end = result.outcome == outcome::completed
+                                    ? std::to_string(result.response.status)
+                                    : std::string{to_string(result.why)};
+        absl::StrAppend(&history, history.empty() ? "" : " ", end);
         if (result.load) {
-            history += "@" + absl::StrCat(absl::Hex(result.load->instance));
+            absl::StrAppend(&history, "@", absl::Hex(result.load->instance));
         }
     }
 
@@ -179,6 +184,9 @@
     void refuse(reason why, const call_done& done);
     bool start_attempt(const call_state& running);
     void finish_attempt(const call_state& running, std::uint32_t carried, call_result result);
+    bool needs_settlement(const dispatched_call& running, const peer& target,
+                          const call_result& result) const;
+    void settle(const call_state& running, std::uint32_t carried, const node_reference& target);
     bool retry(const call_state& running, const call_result& result);
     void schedule_time_limit(const call_state& running);
     void schedule_hedge(const call_state& running);
@@ -299,12 +307,43 @@
         running->what.cancel->on_cancel([cancel] { cancel->cancel(); });
     }
     send(target, running->what, carried, movable, cancel,
-         [self = shared_from_this(), running, carried](call_result result) {
+         [self = shared_from_this(), running, carried, target](call_result result) {
+             if (self->needs_settlement(*running, *target, result)) {
+                 self->settle(running, carried, target->node);
+                 return;
+             }
              self->finish_attempt(running, carried, std::move(result));
          });
     return true;
 }
 
+/// Whether the executor can tell what became of a call whose answer was lost with its connection.
+bool dispatcher::core::needs_settlement(const dispatched_call& running, const peer& target,
+                                        const call_result& result) const
+{
+    return running.what.repeat == repeatability::at_most_once &&
+           result.why == reason::peer_connection_lost &&
+           target.node.instance != options_.self_instance &&
+           options_.now() + settle_timeout < running.what.deadline;
+}
+
+void dispatcher::core::settle(const call_state& running, std::uint32_t carried,
+                              const node_reference& target)
+{
+    peers_.settle(
+        target, attempt_key(running->what.request_id), settle_timeout,
+        [self = shared_from_this(), running, carried](absl::StatusOr<settle_result> settled) {
+            call_result result = unknown_outcome(reason::peer_connection_lost);
+            if (settled.ok() && settled->state == settle_state::completed) {
+                result = {outcome::completed, reason::none, std::move(settled->response), {}};
+            }
+            else if (settled.ok() && settled->state == settle_state::fenced) {
+                result = not_run(reason::key_fenced);
+            }
+            self->finish_attempt(running, carried, std::move(result));
+        });
+}
+
 void dispatcher::core::finish_attempt(const call_state& running, std::uint32_t carried,
                                       call_result result)
 {
--- a/lib/node/executor.cpp
+++ b/lib/node/executor.cpp
@@ -52,6 +52,11 @@
     return value / usual_pace;
 }
 
+bool runs_at_most_once(const call& what)
+{
+    return what.repeat == repeatability::at_most_once;
+}
+
 call_result refused(reason why, load_report load)
 {
     auto result = not_run(why);
@@ -224,8 +229,15 @@
 void executor::admit(execution_ptr what, time_point now, follow_up& next)
 {
     const auto priority = find_class(what->what).value();
+    const bool once = runs_at_most_once(what->what);
+    if (once && !attempts_.admit(what->what.request_id, now)) {
+        next.refusals.push_back(
+            {what->done, what->key, reason::key_running, report_locked(), what->what.request_id});
+        return;
+    }
     const auto offered = queue_->offer(what->id, priority, what->what.deadline, now);
     if (offered.result == offer_state::refused) {
+        forget_attempt(*what);
         next.refusals.push_back(
             {what->done, what->key, offered.why, report_locked(), what->what.request_id});
         return;
@@ -251,6 +263,7 @@
             continue;
         }
         executions_.erase(found);
+        forget_attempt(*what);
         next.refusals.push_back(
             {what->done, what->key, decision->refusal, report_locked(), what->what.request_id});
     }
@@ -264,16 +277,23 @@
     }
     queue_->finish(what->id, {}, now);
     executions_.erase(what->id);
+    if (runs_at_most_once(what->what)) {
+        next.refusals.push_back(
+            {what->done, what->key, reason::key_fenced, report_locked(), what->what.request_id});
+    }
 }
 
 /// The last check before a call is sent to the upstream, in the critical section that makes it a
-/// started one; after this it can no longer be refused. False drops the call without an answer: its
-/// key was fenced, and the fence has answered it.
+/// started one; after this it can no longer be refused. False when its key or its id was fenced;
+/// the fence of a key has answered the call.
 bool executor::commit_to_start(execution& what)
 {
     if (what.key && !keys_.start(*what.key)) {
         return false;
     }
+    if (runs_at_most_once(what.what) && !attempts_.start(what.what.request_id)) {
+        return false;
+    }
     what.base_url = upstream_->base_url;
     what.upstream_id = upstream_->id;
     what.started = true;
@@ -281,6 +301,28 @@
     return true;
 }
 
+void executor::forget_attempt(const execution& what)
+{
+    if (runs_at_most_once(what.what)) {
+        attempts_.refuse(what.what.request_id);
+    }
+}
+
+settle_result executor::settle_attempt(const std::string& request_id)
+{
+    const auto now = ms_clock::now();
+    settle_result settled;
+    {
+        const std::lock_guard lock{mutex_};
+        settled = attempts_.settle(request_id, now);
+    }
+    log_event(log_level::info, "attempt settled",
+              {{"request_id", request_id},
+               {"state", std::string{settle_state_names.name(settled.state)}},
+               {"reason", std::string{to_string(settled.why)}}});
+    return settled;
+}
+
 void executor::refuse_waiting(reason why, follow_up& next)
 {
     for (auto at = executions_.begin(); at != executions_.end();) {
@@ -289,6 +331,7 @@
             ++at;
             continue;
         }
+        forget_attempt(what);
         next.refusals.push_back({what.done, what.key, why, report_locked(), what.what.request_id});
         at = executions_.erase(at);
     }
@@ -306,7 +349,12 @@
             keys_.refuse(*each.key, each.why, ms_clock::now());
             continue;
         }
-        each.done(refused(each.why, std::move(each.load)));
+        auto answer = refused(each.why, std::move(each.load));
+        if (each.why == reason::key_running) {
+            // Another copy of the call is or was here, or a settlement has answered it.
+            answer.outcome = outcome::unknown;
+        }
+        each.done(std::move(answer));
     }
     // A keyed call goes on without its caller: others may wait for the same key.
     if (next.admitted && !next.admitted->key && next.admitted->what.cancel) {
@@ -345,6 +393,7 @@
         if (!what->started) {
             if (executions_.erase(what->id) > 0) {
                 queue_->remove(what->id);
+                forget_attempt(*what);
                 next.refusals.push_back({what->done, what->key, reason::caller_gone,
                                          report_locked(), what->what.request_id});
             }
@@ -370,6 +419,9 @@
     {
         const std::lock_guard lock{mutex_};
         executions_.erase(what->id);
+        if (runs_at_most_once(what->what)) {
+            attempts_.finish(what->what.request_id, ended, now);
+        }
         queue_->finish(what->id, sample, now);
         take_decisions(now, next);
         ended.load = report_locked();
--- a/unittests/node/dispatcher_test.cpp
+++ b/unittests/node/dispatcher_test.cpp
@@ -1,3 +1,4 @@
+#include "chestnutstand/keys/attempt_ledger.h"
 #include "chestnutstand/node/dispatcher.h"
 
 #include <gmock/gmock.h>
@@ -422,5 +423,56 @@
     kept(answer(200));
 }
 
+class settled_dispatch : public routed_dispatch {
+protected:
+    /// Loses the answer of the first attempt; the executor then says the given about it.
+    call_result run_with_lost_answer(const absl::StatusOr<settle_result>& known)
+    {
+        ON_CALL(peers_, settle(_, _, _, _))
+            .WillByDefault([known](const node_reference&, const std::string& key, milliseconds,
+                                   const peer_client::settle_done& done) {
+                EXPECT_EQ(attempt_of_key(key), "attempt-1");
+                done(known);
+            });
+        answer_with([](int attempt) {
+            return attempt == 0 ? unknown_outcome(reason::peer_connection_lost) : answer(200);
+        });
+        return run_routed(repeatability::at_most_once);
+    }
+};
+
+// Guards against a call that is given up although it has provably not run.
+TEST_F(settled_dispatch, places_a_fenced_call_elsewhere)
+{
+    const auto result =
+        run_with_lost_answer(settle_result{settle_state::fenced, {}, reason::key_fenced, {}});
+    EXPECT_EQ(result.outcome, outcome::completed);
+    EXPECT_EQ(attempts_.size(), 2U);
+}
+
+// Guards against an answer that is lost although the executor still has it.
+TEST_F(settled_dispatch, delivers_the_answer_that_the_executor_kept)
+{
+    const auto result = run_with_lost_answer(
+        settle_result{settle_state::completed, {201, {}, "kept"}, reason::none, {}});
+    EXPECT_EQ(result.outcome, outcome::completed);
+    EXPECT_EQ(result.response.body, "kept");
+    EXPECT_EQ(attempts_.size(), 1U);
+}
+
+// Guards against a second run of a call that may have run, and against a refusal that denies it.
+TEST_F(settled_dispatch, call_that_cannot_be_settled_stays_unknown)
+{
+    for (const auto state :
+         {settle_state::running, settle_state::unknown, settle_state::wrong_instance}) {
+        attempts_.clear();
+        const auto result = run_with_lost_answer(settle_result{state, {}, reason::none, {}});
+        EXPECT_EQ(result.outcome, outcome::unknown);
+        EXPECT_EQ(attempts_.size(), 1U);
+    }
+    attempts_.clear();
+    EXPECT_EQ(run_with_lost_answer(absl::UnavailableError("gone")).outcome, outcome::unknown);
+}
+
 } // namespace
 } // namespace chestnutstand
