Ask an upstream for its pace before a call starts on old knowledge

A call now waits for the answer of the health path, about a millisecond, when nothing has been heard for 50 ms; at most 15 such questions a second per upstream, and none for a second after one that was not answered.

--- a/include/chestnutstand/admission/upstream_pace.h
+++ b/include/chestnutstand/admission/upstream_pace.h
@@ -25,6 +25,9 @@
     /// Whether work that starts now would take clearly longer than usual.
     bool slow(time_point now) const;
 
+    /// Whether the last report still says something about this moment.
+    bool fresh(time_point now) const;
+
     /// Whether the upstream was slow when it was last heard of and that is a while ago.
     bool wants_refresh(time_point now) const;
 
--- a/include/chestnutstand/node/executor.h
+++ b/include/chestnutstand/node/executor.h
@@ -7,6 +7,7 @@
 #include "chestnutstand/keys/attempt_ledger.h"
 #include "chestnutstand/keys/executor_keys.h"
 #include "chestnutstand/support/metrics.h"
+#include "chestnutstand/support/token_bucket.h"
 #include "chestnutstand/transport/headers.h"
 #include "chestnutstand/transport/http_client.h"
 
@@ -92,6 +93,12 @@
         std::string request_id;
     };
 
+    struct waiting_call {
+        std::uint64_t target_instance = 0;
+        call what;
+        call_done done;
+    };
+
     /// What has to be done after the mutex is released, as it runs callbacks or sends.
     struct follow_up {
         std::vector<execution_ptr> starts;
@@ -122,6 +129,13 @@
     static void log_refusal(const refused_call& refused);
     void observe_pace(const http_result& result, time_point now);
     void refresh_pace(time_point now);
+    /// Whether a call should wait for a report of the upstream's pace.
+    bool needs_fresh_pace(const call& what, time_point now);
+    std::string health_path() const;
+    void ask_pace(const std::string& base_url, const std::string& path);
+    void offer_with_known_pace(std::uint64_t target_instance, call what,
+                               const std::optional<key_id>& key, const call_done& done,
+                               time_point now);
     void follow_pace(time_point now);
 
     const std::uint64_t instance_;
@@ -142,6 +156,10 @@
     attempt_ledger attempts_;
     upstream_pace pace_;
     bool probing_pace_ = false;
+    /// Calls that wait until the upstream has told its pace.
+    std::vector<waiting_call> waiting_for_pace_;
+    token_bucket pace_probes_;
+    time_point no_pace_until_;
     bool draining_ = false;
 };
 
--- a/lib/admission/upstream_pace.cpp
+++ b/lib/admission/upstream_pace.cpp
@@ -11,6 +11,8 @@
 constexpr milliseconds memory{1'000};
 /// Age from which a report of a slow upstream is worth a request that only measures.
 constexpr milliseconds refresh_after{60};
+/// Slow phases last some hundred milliseconds, so that one rarely begins within this time.
+constexpr milliseconds fresh_for{50};
 /// Time over which the lowest factor counts as the usual one.
 constexpr milliseconds baseline_period{2'000};
 constexpr double lowest_factor = 0.01;
@@ -52,6 +54,11 @@
     return factor(now) >= slow_factor;
 }
 
+bool upstream_pace::fresh(time_point now) const
+{
+    return observed_at_ && now - *observed_at_ < fresh_for;
+}
+
 bool upstream_pace::wants_refresh(time_point now) const
 {
     return slow(now) && now - *observed_at_ >= refresh_after;
--- a/lib/config/record_follower.cpp
+++ b/lib/config/record_follower.cpp
@@ -18,8 +18,7 @@
 
 record_follower::record_follower(record_follower_options options, control_loop& loop,
                                  keyed_store& store, peer_client& peers)
-    : options_{std::move(options)}, loop_{loop}, store_{store}, peers_{peers},
-      random_{options_.random_seed}
+    : options_{options}, loop_{loop}, store_{store}, peers_{peers}, random_{options_.random_seed}
 {
 }
 
--- a/lib/node/executor.cpp
+++ b/lib/node/executor.cpp
@@ -12,7 +12,12 @@
 namespace chestnutstand {
 namespace {
 
-constexpr milliseconds pace_probe_timeout{200};
+/// The upstream answers at once; one that does not is not asked again for a while.
+constexpr milliseconds pace_probe_timeout{50};
+constexpr milliseconds pace_probe_pause{1'000};
+/// A quarter of what the platforms allow, so that probes never are a load of their own.
+constexpr double pace_probes_per_s = 15.0;
+constexpr double pace_probe_burst = 5.0;
 constexpr int status_too_many_requests = 429;
 constexpr int status_server_error = 500;
 constexpr int status_service_unavailable = 503;
@@ -70,7 +75,8 @@
                    configuration_source configuration, header_names names)
     : instance_{instance}, client_{client}, stats_{stats}, keys_{keys},
       configuration_{std::move(configuration)}, names_{std::move(names)}, prober_{client, 0.0,
-                                                                                  ms_clock::now()}
+                                                                                  ms_clock::now()},
+      pace_probes_{pace_probes_per_s, pace_probe_burst, ms_clock::now() - pace_probe_pause}
 {
 }
 
@@ -203,8 +209,74 @@
     }
 }
 
+bool executor::needs_fresh_pace(const call& what, time_point now)
+{
+    if (what.repeat == repeatability::by_class || names_.upstream_load.empty() ||
+        health_path().empty() || pace_.fresh(now) || now < no_pace_until_) {
+        return false;
+    }
+    return probing_pace_ || pace_probes_.try_take(now);
+}
+
+/// Path of the upstream whose answer carries its load; empty when there is none.
+std::string executor::health_path() const
+{
+    const auto* service =
+        applied_ && upstream_ ? applied_->find_service(upstream_->service) : nullptr;
+    return service != nullptr ? service->health_path : std::string{};
+}
+
+/// A call that starts on a slow VM takes several times as long, while the question costs about a
+/// millisecond. So a call waits for the answer when nothing has been heard for a while.
 void executor::offer(std::uint64_t target_instance, call what, const std::optional<key_id>& key,
                      const call_done& done, time_point now)
+{
+    std::string url;
+    std::string path;
+    {
+        const std::lock_guard lock{mutex_};
+        apply_configuration(now);
+        if (needs_fresh_pace(what, now)) {
+            waiting_for_pace_.push_back({target_instance, std::move(what), done});
+            if (std::exchange(probing_pace_, true)) {
+                return;
+            }
+            url = upstream_->base_url;
+            path = health_path();
+        }
+    }
+    if (!url.empty()) {
+        ask_pace(url, path);
+        return;
+    }
+    offer_with_known_pace(target_instance, std::move(what), key, done, now);
+}
+
+void executor::ask_pace(const std::string& base_url, const std::string& path)
+{
+    client_.send(base_url, {"GET", path, {}, ""}, pace_probe_timeout, [this](http_result result) {
+        const auto now = ms_clock::now();
+        observe_pace(result, now);
+        std::vector<waiting_call> waiting;
+        {
+            const std::lock_guard lock{mutex_};
+            probing_pace_ = false;
+            waiting.swap(waiting_for_pace_);
+            if (!pace_.fresh(now)) {
+                no_pace_until_ = now + pace_probe_pause;
+            }
+        }
+        for (auto& each : waiting) {
+            offer_with_known_pace(each.target_instance, std::move(each.what), std::nullopt,
+                                  each.done, now);
+        }
+        poll(now);
+    });
+}
+
+void executor::offer_with_known_pace(std::uint64_t target_instance, call what,
+                                     const std::optional<key_id>& key, const call_done& done,
+                                     time_point now)
 {
     follow_up next;
     {
@@ -528,24 +600,14 @@
     std::string path;
     {
         const std::lock_guard lock{mutex_};
-        const auto* service =
-            applied_ && upstream_ ? applied_->find_service(upstream_->service) : nullptr;
-        if (probing_pace_ || service == nullptr || service->health_path.empty() ||
-            !pace_.wants_refresh(now)) {
+        path = health_path();
+        if (probing_pace_ || path.empty() || !pace_.wants_refresh(now)) {
             return;
         }
         probing_pace_ = true;
         url = upstream_->base_url;
-        path = service->health_path;
     }
-    client_.send(url, {"GET", path, {}, ""}, pace_probe_timeout, [this](http_result result) {
-        {
-            const std::lock_guard lock{mutex_};
-            probing_pace_ = false;
-        }
-        observe_pace(result, ms_clock::now());
-        poll(ms_clock::now());
-    });
+    ask_pace(url, path);
 }
 
 load_report executor::report() const
@@ -573,7 +635,7 @@
 bool executor::idle() const
 {
     const std::lock_guard lock{mutex_};
-    return executions_.empty();
+    return executions_.empty() && waiting_for_pace_.empty();
 }
 
 } // namespace chestnutstand
--- a/unittests/node/executor_test.cpp
+++ b/unittests/node/executor_test.cpp
@@ -352,5 +352,46 @@
     EXPECT_EQ(reporting_.report().pace, 1.0);
 }
 
+class executor_with_health_path : public executor_with_load_header {
+protected:
+    executor_with_health_path()
+    {
+        auto made = std::make_shared<document>(*document_);
+        made->services.front().health_path = "/healthz";
+        document_ = std::move(made);
+        reporting_.set_upstream(local_upstream{"ledger", "http://127.0.0.1:2", 2, "i-1"});
+    }
+
+    bool last_is_probe() const
+    {
+        return upstream_.requests.at(upstream_.last_id).target == "/healthz";
+    }
+};
+
+// Guards against a call that starts on a slow VM because nothing has been heard of it lately.
+TEST_F(executor_with_health_path, asks_for_the_pace_before_it_starts_a_call)
+{
+    execute_movable(true);
+    ASSERT_TRUE(last_is_probe());
+    upstream_.answer(1, 200, {{"Load", "0,0,2,100"}});
+    EXPECT_EQ(upstream_.last_id, 2U);
+    EXPECT_FALSE(last_is_probe());
+    execute_movable(true);
+    EXPECT_FALSE(last_is_probe());
+    EXPECT_EQ(upstream_.last_id, 3U);
+}
+
+// Guards against calls that wait for an upstream which does not answer its health path.
+TEST_F(executor_with_health_path, does_not_wait_for_a_pace_that_is_not_told)
+{
+    execute_movable(true);
+    ASSERT_TRUE(last_is_probe());
+    upstream_.end(1, {http_error::timed_out, {}, milliseconds{50}});
+    EXPECT_EQ(upstream_.last_id, 2U);
+    execute_movable(true);
+    EXPECT_EQ(upstream_.last_id, 3U);
+    EXPECT_FALSE(last_is_probe());
+}
+
 } // namespace
 } // namespace chestnutstand
