Leave a stopped node without the destructors of static objects

Trial log lines show that main returns half a second after 'node stopped'; the destructors of the libraries' static objects hang after it. Ruled out: calls in flight, the HTTP client, the components (all end within 6 ms).

--- a/tools/chestnutstand/node.cpp
+++ b/tools/chestnutstand/node.cpp
@@ -7,6 +7,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <csignal>
+#include <cstdlib>
 #include <string>
 
 namespace chestnutstand {
@@ -80,7 +81,9 @@
             return fail(absl::IsNotFound(loaded.status()) ? exit_failed : exit_invalid_input,
                         std::string{loaded.status().message()});
         }
-        return run_node(*std::move(loaded));
+        // The static objects of the libraries wait for threads of their own when they are
+        // destroyed, which can take longer than the grace time.
+        std::quick_exit(run_node(*std::move(loaded)));
     }
 
 private:
