Give an upstream calls while its node is in the lame-duck period

The logs show the nodes restarting in turn from 1 s on; each took its upstream out of service for 3.1 s, 2.4 s of them before the process ended, while two balance upstreams left and one was slow. Ruled out: the store (reachable), the document (in force within 10 ms everywhere), the pace.

On a platform whose upstreams say by themselves when they leave, the executor now admits calls until the end of the lame-duck period.

--- a/include/chestnutstand/node/kernel.h
+++ b/include/chestnutstand/node/kernel.h
@@ -78,6 +78,12 @@
     /// Random identity of this process.
     std::uint64_t instance() const { return instance_; }
     bool draining() const { return draining_; }
+    /// Whether the upstream tells by itself when it leaves, so that it gets calls during the
+    /// lame-duck period of a node that is only restarted.
+    bool upstream_outlives_drain() const
+    {
+        return settings_.interface_for_callers == caller_interface::routes;
+    }
     /// Each port is set by the component that binds it, at its start.
     node_ports& ports() { return ports_; }
     metrics& stats() { return metrics_; }
--- a/lib/node/components/executor_component.cpp
+++ b/lib/node/components/executor_component.cpp
@@ -55,7 +55,13 @@
         return absl::OkStatus();
     }
 
-    void begin_drain(kernel& /*node*/) override { executor_->begin_drain(); }
+    void begin_drain(kernel& node) override
+    {
+        if (!node.upstream_outlives_drain()) {
+            executor_->begin_drain();
+        }
+    }
+    void end_lame_duck(kernel& /*node*/) override { executor_->begin_drain(); }
     bool idle() const override { return executor_->idle(); }
 
 private:
--- a/lib/node/components/membership_component.cpp
+++ b/lib/node/components/membership_component.cpp
@@ -44,6 +44,13 @@
     }
 
     void begin_drain(kernel& node) override
+    {
+        if (!node.upstream_outlives_drain()) {
+            end_lame_duck(node);
+        }
+    }
+
+    void end_lame_duck(kernel& node) override
     {
         node.control().post([this] { members_->set_draining(); });
     }
