--- /dev/null
+++ b/lib/node/dispatched_call.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "chestnutstand/routing/retry_budget.h"
+#include "chestnutstand/support/clock.h"
+#include "chestnutstand/transport/call.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace chestnutstand {
+
+/// One dispatched call with its attempts.
+struct dispatched_call {
+    dispatched_call(const call& given, call_done callback, bool may_repeat)
+        : what{given}, done{std::move(callback)},
+          idempotent{may_repeat}, budget{std::min(given.retry_budget, largest_tree_budget)}
+    {
+    }
+
+    const call what;
+    const call_done done;
+    const bool idempotent;
+
+    const time_point started = ms_clock::now();
+    std::mutex mutex;
+    tree_budget budget;
+    std::vector<std::uint64_t> tried;
+    /// Those of them that would not start the call at once because their upstream was slow.
+    std::vector<std::uint64_t> slow;
+    /// The call waits for a slow upstream, because there is no other.
+    bool settled_for_slow = false;
+    /// One for each attempt, so that the attempts that lose against a hedge can be ended.
+    std::vector<std::shared_ptr<cancellation>> cancels;
+    std::size_t placements = 0;
+    std::uint64_t document_version = 0;
+    /// What became of the attempts, for the log line of the call.
+    std::string history;
+    std::size_t running = 0;
+    bool finished = false;
+    /// The result that says most about whether the call ran.
+    std::optional<call_result> failure;
+
+    void note_attempt(const call_result& result)
+    {
+        const std::string end = result.outcome == outcome::completed
+                                    ? std::to_string(result.response.status)
+                                    : std::string{to_string(result.why)};
+        absl::StrAppend(&history, history.empty() ? "" : " ", end);
+        if (result.load) {
+            absl::StrAppend(&history, "@", absl::Hex(result.load->instance));
+        }
+    }
+
+    /// Makes the members that only were slow eligible again; false when there are none.
+    bool settle_for_slow()
+    {
+        std::erase_if(tried, [this](std::uint64_t instance) {
+            return std::find(slow.begin(), slow.end(), instance) != slow.end();
+        });
+        settled_for_slow = true;
+        return !std::exchange(slow, {}).empty();
+    }
+};
+
+} // namespace chestnutstand
--- a/lib/node/executor.cpp
+++ b/lib/node/executor.cpp
@@ -4,7 +4,6 @@
 #include "chestnutstand/support/log.h"
 
 #include <algorithm>
-#include <charconv>
 #include <cmath>
 #include <string_view>
 #include <utility>
@@ -12,12 +11,11 @@
 namespace chestnutstand {
 namespace {
 
-/// The upstream answers at once; one that does not is not asked again for a while.
-constexpr milliseconds pace_probe_timeout{50};
-constexpr milliseconds pace_probe_pause{1'000};
 /// A quarter of what the platforms allow, so that probes never are a load of their own.
 constexpr double pace_probes_per_s = 15.0;
 constexpr double pace_probe_burst = 5.0;
+/// Fills the bucket at the start, when the pace of the upstream is not known.
+constexpr milliseconds pace_probe_head_start{1'000};
 constexpr int status_too_many_requests = 429;
 constexpr int status_server_error = 500;
 constexpr int status_service_unavailable = 503;
@@ -42,21 +40,6 @@
     return {sample_kind::completed, result.elapsed};
 }
 
-/// Reads the pace out of RUNNING,WAITING,SLOTS,PACE, where a pace of 100 is the usual one.
-std::optional<double> parse_pace(std::string_view load)
-{
-    constexpr double usual_pace = 100.0;
-    const auto last = load.rfind(',');
-    double value = 0.0;
-    const std::string_view text = last == std::string_view::npos ? load : load.substr(last + 1);
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (std::count(load.begin(), load.end(), ',') != 3 || error != std::errc{} ||
-        end != text.data() + text.size() || value <= 0.0) {
-        return std::nullopt;
-    }
-    return value / usual_pace;
-}
-
 bool runs_at_most_once(const call& what)
 {
     return what.repeat == repeatability::at_most_once;
@@ -76,7 +59,7 @@
     : instance_{instance}, client_{client}, stats_{stats}, keys_{keys},
       configuration_{std::move(configuration)}, names_{std::move(names)}, prober_{client, 0.0,
                                                                                   ms_clock::now()},
-      pace_probes_{pace_probes_per_s, pace_probe_burst, ms_clock::now() - pace_probe_pause}
+      pace_probes_{pace_probes_per_s, pace_probe_burst, ms_clock::now() - pace_probe_head_start}
 {
 }
 
@@ -209,71 +192,6 @@
     }
 }
 
-bool executor::needs_fresh_pace(const call& what, time_point now)
-{
-    if (what.repeat == repeatability::by_class || names_.upstream_load.empty() ||
-        health_path().empty() || pace_.fresh(now) || now < no_pace_until_) {
-        return false;
-    }
-    return probing_pace_ || pace_probes_.try_take(now);
-}
-
-/// Path of the upstream whose answer carries its load; empty when there is none.
-std::string executor::health_path() const
-{
-    const auto* service =
-        applied_ && upstream_ ? applied_->find_service(upstream_->service) : nullptr;
-    return service != nullptr ? service->health_path : std::string{};
-}
-
-/// A call that starts on a slow VM takes several times as long, while the question costs about a
-/// millisecond. So a call waits for the answer when nothing has been heard for a while.
-void executor::offer(std::uint64_t target_instance, call what, const std::optional<key_id>& key,
-                     const call_done& done, time_point now)
-{
-    std::string url;
-    std::string path;
-    {
-        const std::lock_guard lock{mutex_};
-        apply_configuration(now);
-        if (needs_fresh_pace(what, now)) {
-            waiting_for_pace_.push_back({target_instance, std::move(what), done});
-            if (std::exchange(probing_pace_, true)) {
-                return;
-            }
-            url = upstream_->base_url;
-            path = health_path();
-        }
-    }
-    if (!url.empty()) {
-        ask_pace(url, path);
-        return;
-    }
-    offer_with_known_pace(target_instance, std::move(what), key, done, now);
-}
-
-void executor::ask_pace(const std::string& base_url, const std::string& path)
-{
-    client_.send(base_url, {"GET", path, {}, ""}, pace_probe_timeout, [this](http_result result) {
-        const auto now = ms_clock::now();
-        observe_pace(result, now);
-        std::vector<waiting_call> waiting;
-        {
-            const std::lock_guard lock{mutex_};
-            probing_pace_ = false;
-            waiting.swap(waiting_for_pace_);
-            if (!pace_.fresh(now)) {
-                no_pace_until_ = now + pace_probe_pause;
-            }
-        }
-        for (auto& each : waiting) {
-            offer_with_known_pace(each.target_instance, std::move(each.what), std::nullopt,
-                                  each.done, now);
-        }
-        poll(now);
-    });
-}
-
 void executor::offer_with_known_pace(std::uint64_t target_instance, call what,
                                      const std::optional<key_id>& key, const call_done& done,
                                      time_point now)
@@ -534,82 +452,6 @@
     }
 }
 
-void executor::log_execution(const execution& what, const call_result& ended, time_point now) const
-{
-    const bool completed = ended.outcome == outcome::completed;
-    log_event(log_level::info, "call executed",
-              {{"request_id", what.what.request_id},
-               {"upstream", what.upstream_id},
-               {"class", what.what.priority},
-               {"outcome", std::string{to_string(ended.outcome)}},
-               {"reason", std::string{to_string(ended.why)}},
-               {"status", std::int64_t{completed ? ended.response.status : 0}},
-               {"waited_ms", (what.started_at - what.offered_at).count()},
-               {"run_ms", (now - what.started_at).count()},
-               {"in_flight", std::uint64_t{ended.load ? ended.load->in_flight : 0}},
-               {"limit", std::uint64_t{ended.load ? ended.load->limit : 0}},
-               {"pace", ended.load ? ended.load->pace : 1.0}});
-}
-
-void executor::log_refusal(const refused_call& refused)
-{
-    std::uint64_t queued = 0;
-    for (const auto& queue : refused.load.queues) {
-        queued += queue.length;
-    }
-    log_event(log_level::info, "call refused",
-              {{"request_id", refused.request_id},
-               {"reason", std::string{to_string(refused.why)}},
-               {"in_flight", std::uint64_t{refused.load.in_flight}},
-               {"queued", queued},
-               {"limit", std::uint64_t{refused.load.limit}},
-               {"latency_ms", refused.load.latency.count()},
-               {"pace", refused.load.pace}});
-}
-
-/// Hands the pace to the queue, which holds requests while the upstream is slow.
-void executor::follow_pace(time_point now)
-{
-    if (queue_) {
-        queue_->set_pace(pace_.slow(now) ? pace_.factor(now) : 1.0);
-    }
-}
-
-void executor::observe_pace(const http_result& result, time_point now)
-{
-    const auto reported = find_header(result.response.headers, names_.upstream_load);
-    if (!reported) {
-        return;
-    }
-    const auto factor = parse_pace(*reported);
-    if (!factor) {
-        log_event(log_level::warning, "load header not readable",
-                  {{"value", std::string{*reported}}});
-        return;
-    }
-    const std::lock_guard lock{mutex_};
-    pace_.observe(*factor, now);
-    follow_pace(now);
-}
-
-/// Asks a slow upstream that has not been heard of for a while, so that it gets work again as soon
-/// as it is back to its usual pace.
-void executor::refresh_pace(time_point now)
-{
-    std::string url;
-    std::string path;
-    {
-        const std::lock_guard lock{mutex_};
-        path = health_path();
-        if (probing_pace_ || path.empty() || !pace_.wants_refresh(now)) {
-            return;
-        }
-        probing_pace_ = true;
-        url = upstream_->base_url;
-    }
-    ask_pace(url, path);
-}
-
 load_report executor::report() const
 {
     const std::lock_guard lock{mutex_};
