--- a/lib/transport/http_peer_client.cpp
+++ b/lib/transport/http_peer_client.cpp
@@ -132,7 +132,7 @@
 
     template <typename Request>
     void send_call(const node_reference& target, const char* path, const Request& request,
-                   const call& what, http_client::http_done done)
+                   const call& what, http_client::http_done&& done)
     {
         const milliseconds left = what.deadline - ms_clock::now() + reply_grace;
         const auto id = client_.send(url_of(target), make_request(path, request),
