--- a/unittests/config/record_follower_test.cpp
+++ b/unittests/config/record_follower_test.cpp
@@ -62,6 +62,9 @@
 };
 
 class record_follower_test : public testing::Test {
+public:
+    ~record_follower_test() override { loop_.stop(); }
+
 protected:
     record_follower_test()
     {
@@ -75,8 +78,6 @@
         });
     }
 
-    ~record_follower_test() override { loop_.stop(); }
-
     /// Runs on the control thread and waits.
     template <typename Work>
     void on_control(Work work)
