Keep the slots of an upstream that rejects for other reasons than load

Each rejection lowered the concurrency limit, down to 1 on all 28 nodes, and one more slot took 32 samples: the limit was still 1 to 3 ten seconds after the rejections had ended. Lookups were refused, and plotbook answered its callers with 500 after 270 ms of work. Ruled out: retry limits and queue order; the logs show limit 1 and 0.5 in flight.

A rejection with a load report that shows a free slot does not count, and after rejections the limit grows by one every four calm rounds. Both new tests failed on the code before. Conclusion: what was lost after the fault was lost by the node itself.

--- a/include/chestnutstand/admission/concurrency_limit.h
+++ b/include/chestnutstand/admission/concurrency_limit.h
@@ -65,6 +65,8 @@
 
     std::uint32_t window_size() const;
     void close_window(time_point now);
+    void grow_early(time_point now);
+    bool may_grow(time_point now) const;
     double latency_ratio();
     void update_baselines(bool congested);
     void react_to_congestion(double ratio, time_point now);
--- a/lib/admission/concurrency_limit.cpp
+++ b/lib/admission/concurrency_limit.cpp
@@ -73,6 +73,29 @@
     if (window_count_ >= window_size()) {
         close_window(now);
     }
+    else {
+        grow_early(now);
+    }
+}
+
+/// After rejections that have ended, the samples of a whole window take a low limit so long that
+/// its queue refuses nearly everything meanwhile. A few calm rounds are enough to try one slot
+/// more.
+void concurrency_limit::grow_early(time_point now)
+{
+    if (limit_ >= slots_ || congestion_ || window_count_ < window_rounds * limit_ ||
+        !may_grow(now) || latency_ratio() >= calm_ratio) {
+        return;
+    }
+    update_baselines(false);
+    clear_window();
+    ++limit_;
+}
+
+/// Whether the limit was fully used and the upstream has not shed requests lately.
+bool concurrency_limit::may_grow(time_point now) const
+{
+    return window_peak_ >= limit_ && (!last_shed_ || now - *last_shed_ >= growth_pause_after_shed);
 }
 
 std::uint32_t concurrency_limit::window_size() const
@@ -84,8 +107,7 @@
 {
     const double ratio = latency_ratio();
     const bool congested = ratio > congested_ratio;
-    const bool fully_used = window_peak_ >= limit_;
-    const bool may_grow = !last_shed_ || now - *last_shed_ >= growth_pause_after_shed;
+    const bool growing = may_grow(now);
     update_baselines(congested);
     clear_window();
     if (congested) {
@@ -94,7 +116,7 @@
     }
     if (ratio < calm_ratio) {
         congestion_.reset();
-        if (fully_used && may_grow) {
+        if (growing) {
             limit_ = std::min(limit_ + 1, slots_);
         }
     }
--- a/lib/node/executor.cpp
+++ b/lib/node/executor.cpp
@@ -1,5 +1,6 @@
 #include "chestnutstand/node/executor.h"
 
+#include "chestnutstand/admission/reported_load.h"
 #include "chestnutstand/node/upstream_exchange.h"
 #include "chestnutstand/support/log.h"
 
@@ -20,8 +21,17 @@
 constexpr int status_server_error = 500;
 constexpr int status_service_unavailable = 503;
 
+/// An upstream can reject requests while it has free slots. Such a rejection says nothing about the
+/// number of requests that it can run.
+bool rejected_with_free_slots(const http_response& response, const header_names& names)
+{
+    const auto header = find_header(response.headers, names.upstream_load);
+    const auto load = header ? parse_reported_load(*header) : std::nullopt;
+    return load && load->has_free_slot();
+}
+
 /// What the result says about the load of the upstream.
-upstream_sample make_sample(const http_result& result)
+upstream_sample make_sample(const http_result& result, const header_names& names)
 {
     if (result.error == http_error::timed_out) {
         return {sample_kind::timed_out, result.elapsed};
@@ -31,6 +41,9 @@
     }
     const int status = result.response.status;
     if (status == status_service_unavailable || status == status_too_many_requests) {
+        if (rejected_with_free_slots(result.response, names)) {
+            return {};
+        }
         return {sample_kind::shed, result.elapsed};
     }
     // An upstream that fails fast would seem to have become quick.
@@ -402,7 +415,7 @@
 void executor::finish(const execution_ptr& what, http_result result)
 {
     const auto now = ms_clock::now();
-    const auto sample = make_sample(result);
+    const auto sample = make_sample(result, names_);
     observe_pace(result, now);
     call_result ended = judge_upstream_response(what->what, std::move(result), names_);
     follow_up next;
--- a/lib/node/executor_pace.cpp
+++ b/lib/node/executor_pace.cpp
@@ -1,11 +1,9 @@
 // The part of the executor that follows the pace of its upstream.
 
+#include "chestnutstand/admission/reported_load.h"
 #include "chestnutstand/node/executor.h"
 #include "chestnutstand/support/log.h"
 
-#include <algorithm>
-#include <charconv>
-#include <string_view>
 #include <utility>
 
 namespace chestnutstand {
@@ -15,21 +13,6 @@
 constexpr milliseconds pace_probe_timeout{50};
 constexpr milliseconds pace_probe_pause{1'000};
 
-/// Reads the pace out of RUNNING,WAITING,SLOTS,PACE, where a pace of 100 is the usual one.
-std::optional<double> parse_pace(std::string_view load)
-{
-    constexpr double usual_pace = 100.0;
-    const auto last = load.rfind(',');
-    double value = 0.0;
-    const std::string_view text = last == std::string_view::npos ? load : load.substr(last + 1);
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (std::count(load.begin(), load.end(), ',') != 3 || error != std::errc{} ||
-        end != text.data() + text.size() || value <= 0.0) {
-        return std::nullopt;
-    }
-    return value / usual_pace;
-}
-
 } // namespace
 
 bool executor::needs_fresh_pace(const call& what, time_point now)
@@ -108,14 +91,14 @@
     if (!reported) {
         return;
     }
-    const auto factor = parse_pace(*reported);
-    if (!factor) {
+    const auto load = parse_reported_load(*reported);
+    if (!load) {
         log_event(log_level::warning, "load header not readable",
                   {{"value", std::string{*reported}}});
         return;
     }
     const std::lock_guard lock{mutex_};
-    pace_.observe(*factor, now);
+    pace_.observe(load->pace, now);
     follow_pace(now);
 }
 
--- a/unittests/admission/concurrency_limit_test.cpp
+++ b/unittests/admission/concurrency_limit_test.cpp
@@ -72,6 +72,25 @@
     EXPECT_EQ(limit.value(), slots);
 }
 
+// Guards against a limit that stays so low after the upstream has stopped to shed that the queue
+// refuses nearly everything for many seconds.
+TEST(concurrency_limit, is_back_within_seconds_after_shedding_has_ended)
+{
+    concurrency_limit limit{slots};
+    time_point now{};
+    run_rounds(limit, now, 10, constant_20ms);
+    for (int i = 0; i < 20; ++i) {
+        now += milliseconds{1};
+        limit.observe({{sample_kind::shed, milliseconds{1}}, 0, now, limit.value()}, now);
+    }
+    ASSERT_EQ(limit.value(), 1U);
+    const auto ended = now;
+    while (limit.value() < slots && now - ended < milliseconds{60'000}) {
+        run_rounds(limit, now, 1, constant_20ms);
+    }
+    EXPECT_LE((now - ended).count(), 2'000.0) << "a pause of 1 s, then four rounds for each slot";
+}
+
 // Guards against one burst of shed requests that is counted as many reasons to decrease.
 TEST(concurrency_limit, falls_once_per_burst)
 {
--- a/unittests/node/executor_test.cpp
+++ b/unittests/node/executor_test.cpp
@@ -214,6 +214,30 @@
     EXPECT_EQ(upstream_.requests.size(), 2U);
 }
 
+// Guards against a node that gives up nearly all slots of an upstream because it rejects requests
+// for another reason than its load.
+TEST_F(executor_test, keeps_the_slots_of_an_upstream_that_rejects_while_it_has_free_ones)
+{
+    header_names names;
+    names.upstream_load = "Load";
+    executor node{own_instance, upstream_, stats_, keys_, [this] { return document_; }, names};
+    node.set_upstream(local_upstream{"ledger", "http://127.0.0.1:1", 8, ""});
+    const auto reject = [&](const char* load) {
+        call what;
+        what.service = "ledger";
+        what.priority = "read";
+        what.deadline = ms_clock::now() + milliseconds{60'000};
+        node.execute(own_instance, what, [](const auto&) {});
+        upstream_.answer(upstream_.last_id, 503, {{"Load", load}});
+    };
+    for (int i = 0; i < 20; ++i) {
+        reject("3,0,8,100");
+    }
+    EXPECT_EQ(node.report().limit, 8U);
+    reject("8,2,8,100");
+    EXPECT_LT(node.report().limit, 8U);
+}
+
 // Guards against calls that wait for an upstream that does not come back.
 TEST_F(executor_test, refuses_queued_calls_when_the_upstream_goes)
 {
