Read the store on three nodes of a data centre, join with two calls

Every node made one long read for each change, and read the member directory several times before it added its record. Ruled out: pauses between failed reads; the store was up.

Nodes that are not readers take the document from a peer of their data centre, or read the store when the peer cannot be asked or no member has been heard of for 1.25 s. A node adds its record first and reads once. Conclusion: calls follow the number of data centres, no longer that of nodes.

--- a/include/chestnutstand/config/record_follower.h
+++ b/include/chestnutstand/config/record_follower.h
@@ -28,7 +28,8 @@
 };
 
 /// Follows a document that its operator keeps whole in one record of the store: the newest record
-/// at the start, then one long read after the other. The position of a document is its version. A
+/// at the start, then, while this node is a reader, one long read after the other. The others take
+/// newer documents from peers. The position of a document is its version. A
 /// record that cannot be read, or with a version that is not higher, leaves the document in force.
 class record_follower final : public configuration {
 public:
@@ -77,6 +78,8 @@
     /// From different peers, so that one that does not answer is not the only one.
     std::vector<peer_hint> hints_;
     bool fetching_ = false;
+    /// A peer that has a newer document could not be asked for it; the store is read instead.
+    bool peers_failed_ = false;
 };
 
 } // namespace chestnutstand
--- a/include/chestnutstand/membership/join_log.h
+++ b/include/chestnutstand/membership/join_log.h
@@ -24,7 +24,7 @@
     void append(const member& self, done finished) override;
     const std::unordered_map<std::uint64_t, record>& records() const override { return records_; }
     void purge(time_point now, milliseconds retention) override;
-    std::size_t enough_records() const override;
+    std::optional<std::size_t> enough_records() const override;
 
 private:
     void read_from(std::uint64_t offset, done finished);
--- a/include/chestnutstand/membership/member_directory.h
+++ b/include/chestnutstand/membership/member_directory.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <unordered_map>
 
 namespace chestnutstand {
@@ -37,8 +38,9 @@
     /// Forgets old records.
     virtual void purge(time_point now, milliseconds retention) = 0;
 
-    /// Fresh records per data centre with which a node need not add its own.
-    virtual std::size_t enough_records() const = 0;
+    /// Fresh records per data centre with which a node need not add its own; nothing when every
+    /// node adds one.
+    virtual std::optional<std::size_t> enough_records() const = 0;
 };
 
 } // namespace chestnutstand
--- a/include/chestnutstand/membership/membership.h
+++ b/include/chestnutstand/membership/membership.h
@@ -54,6 +54,8 @@
     const snapshot<routing_table>& table() const;
     /// All known members, this node first.
     std::vector<member> members() const;
+    /// How long no message of another member has arrived.
+    milliseconds silence() const;
     /// Serves SyncMembers.
     void handle_sync(const std::vector<std::string>& theirs,
                      const peer_client::members_done& reply);
--- a/include/chestnutstand/membership/swim.h
+++ b/include/chestnutstand/membership/swim.h
@@ -107,6 +107,8 @@
 
     const member& self() const { return self_; }
     const swim_counters& counters() const { return counters_; }
+    /// When the last message of another member arrived; the start before the first one.
+    time_point last_heard() const { return last_heard_; }
     /// Updates that are still being passed on.
     std::size_t queued_updates() const { return queue_.size(); }
     const member_table& table() const { return table_; }
@@ -159,6 +161,7 @@
               std::uint64_t to_instance);
     void add_updates(gossip_message& message, std::uint64_t to_instance);
     void ping(const member& target, std::uint64_t sequence);
+    std::vector<const member*> hint_targets();
     std::size_t transmit_limit() const;
 
     // Timers.
@@ -198,6 +201,7 @@
     std::uint64_t last_sequence_ = 0;
     std::uint64_t config_next_offset_ = 0;
     time_point last_seen_;
+    time_point last_heard_;
     time_point table_changed_;
     time_point next_probe_;
     time_point next_dead_retry_;
--- a/lib/config/record_follower.cpp
+++ b/lib/config/record_follower.cpp
@@ -10,9 +10,9 @@
 namespace {
 
 constexpr std::size_t max_hints = 4;
-/// A long read costs the store next to nothing, and a node that reads by itself does not depend on
-/// how fast gossip is. Fleets with more nodes in one data centre rely on gossip for the others.
-constexpr std::size_t readers_per_data_centre = 64;
+/// Each call of the store costs the same whether it brings news or not, and every reader makes one
+/// for each change. With three, two may lose the store at the same time.
+constexpr std::size_t readers_per_data_centre = 3;
 
 } // namespace
 
@@ -49,7 +49,8 @@
 
 void record_follower::read()
 {
-    if (reading_ || (!tailing_ && version_ > 0)) {
+    const bool needed = tailing_ || version_ == 0 || peers_failed_;
+    if (reading_ || !needed) {
         return;
     }
     reading_ = true;
@@ -77,6 +78,7 @@
         return;
     }
     pause_ = milliseconds{0};
+    peers_failed_ = false;
     next_offset_ = page->next;
     for (const auto& record : page->records) {
         apply(record.value, "store");
@@ -167,6 +169,8 @@
     if (!changes.ok()) {
         log_event(log_level::warning, "document not fetched from a peer",
                   {{"peer", peer.address}, {"reason", changes.status().ToString()}});
+        peers_failed_ = true;
+        read();
     }
     else {
         for (const auto& record : changes->records) {
--- a/lib/membership/keyed_directory.cpp
+++ b/lib/membership/keyed_directory.cpp
@@ -3,7 +3,6 @@
 #include "chestnutstand/membership/gossip_codec.h"
 #include "chestnutstand/support/log.h"
 
-#include <limits>
 #include <string>
 #include <utility>
 
@@ -52,9 +51,9 @@
 // The store keeps the newest record of each key, whatever its age.
 void keyed_directory::purge(time_point /*now*/, milliseconds /*retention*/) {}
 
-std::size_t keyed_directory::enough_records() const
+std::optional<std::size_t> keyed_directory::enough_records() const
 {
-    return std::numeric_limits<std::size_t>::max();
+    return std::nullopt;
 }
 
 } // namespace chestnutstand
--- a/lib/membership/membership.cpp
+++ b/lib/membership/membership.cpp
@@ -85,6 +85,8 @@
 
     // Joining.
     void join_round();
+    void read_directory();
+    bool settled() const { return synced_ && record_settled_ && read_after_settled_; }
     void schedule_join_round();
     void on_join_records(const absl::Status& status);
     void contact_recorded(std::size_t limit);
@@ -262,6 +264,25 @@
         start_sync(protocol_->table().random_live(1, 0, random_).front()->node);
     }
     flush();
+    if (!live.empty() && record_settled_ && read_after_settled_) {
+        // Only the exchange with a peer is missing.
+        schedule_join_round();
+        return;
+    }
+    if (record_settled_ || directory_->enough_records()) {
+        read_directory();
+        return;
+    }
+    // Of two nodes that start together, the one that adds its record later reads both.
+    directory_->append(options_.self, guarded([](impl& self, const absl::Status& status) {
+                           self.record_settled_ = self.record_settled_ || status.ok();
+                           self.refreshing_ = self.refreshing_ && !status.ok();
+                           self.read_directory();
+                       }));
+}
+
+void membership::impl::read_directory()
+{
     directory_->refresh(
         guarded([](impl& self, const absl::Status& status) { self.on_join_records(status); }));
 }
@@ -288,9 +309,9 @@
 
 void membership::impl::schedule_join_round()
 {
-    const bool settled = synced_ && record_settled_ && read_after_settled_;
+    const bool was_settled = settled();
     milliseconds delay = join_interval_;
-    if (settled) {
+    if (was_settled) {
         join_interval_ = first_join_interval;
         std::uniform_real_distribution<double> jitter{0.9, 1.1};
         delay = refresh_interval * jitter(random_);
@@ -299,8 +320,12 @@
         join_interval_ = std::min(join_interval_ * join_backoff,
                                   synced_ ? longest_joined_interval : longest_join_interval);
     }
-    loop_.post_after(delay, guarded([settled](impl& self) {
-                         if (!settled || self.protocol_->table().live().empty()) {
+    loop_.post_after(delay, guarded([was_settled](impl& self) {
+                         const bool alone = self.protocol_->table().live().empty();
+                         if (!alone && !was_settled && self.settled()) {
+                             self.schedule_join_round();
+                         }
+                         else if (!was_settled || alone) {
                              self.join_round();
                          }
                          else if (self.is_refresher()) {
@@ -350,10 +375,11 @@
 
 void membership::impl::append_when_needed(time_point now)
 {
-    if (record_settled_ || now < append_from_) {
+    const auto enough = directory_->enough_records();
+    if (record_settled_ || !enough || now < append_from_) {
         return;
     }
-    if (!refreshing_ && fresh_records(now) >= directory_->enough_records()) {
+    if (!refreshing_ && fresh_records(now) >= *enough) {
         record_settled_ = true;
         return;
     }
@@ -443,6 +469,11 @@
     return impl_->protocol_ ? impl_->protocol_->members() : std::vector<member>{};
 }
 
+milliseconds membership::silence() const
+{
+    return impl_->protocol_ ? ms_clock::now() - impl_->protocol_->last_heard() : milliseconds{0};
+}
+
 void membership::handle_sync(const std::vector<std::string>& theirs,
                              const peer_client::members_done& reply)
 {
--- a/lib/membership/swim.cpp
+++ b/lib/membership/swim.cpp
@@ -31,7 +31,7 @@
 
 swim::swim(member self, const swim_options& options, std::uint64_t random_seed, time_point now)
     : self_{std::move(self)}, options_{options}, random_{random_seed}, last_seen_{now},
-      table_changed_{now}, next_probe_{now + options.probe_period},
+      last_heard_{now}, table_changed_{now}, next_probe_{now + options.probe_period},
       next_dead_retry_{now + options.dead_retry}, next_verify_{now}, next_sync_{now},
       next_purge_{now}, push_refilled_{now}, push_budget_bytes_{options.push_burst_bytes}
 {
@@ -46,6 +46,7 @@
         return;
     }
     note_time(now);
+    last_heard_ = now;
     const bool is_new = table_.find(message->sender.node.instance) == nullptr;
     apply(message->sender, claim_source::direct, now);
     if (is_new) {
@@ -295,14 +296,34 @@
         return;
     }
     config_next_offset_ = next;
-    for (const member* peer :
-         table_.random_live(options_.push_fan_out, self_.node.instance, random_)) {
+    for (const member* peer : hint_targets()) {
         gossip_message hint;
         hint.kind = gossip_kind::config_hint;
         send(std::move(hint), peer->node.address, peer->gossip_port, peer->node.instance);
     }
 }
 
+/// Members of the own data centre, as what a hint announces is fetched from its sender, and one
+/// from anywhere, for data centres in which no node reads the source.
+std::vector<const member*> swim::hint_targets()
+{
+    std::vector<const member*> near;
+    for (const std::uint64_t instance : table_.live()) {
+        const member* peer = table_.find(instance);
+        if (peer->data_centre == self_.data_centre) {
+            near.push_back(peer);
+        }
+    }
+    std::shuffle(near.begin(), near.end(), random_);
+    near.resize(std::min(near.size(), options_.push_fan_out));
+    for (const member* peer : table_.random_live(1, self_.node.instance, random_)) {
+        if (std::find(near.begin(), near.end(), peer) == near.end()) {
+            near.push_back(peer);
+        }
+    }
+    return near;
+}
+
 void swim::contact(const std::string& address, std::uint16_t port)
 {
     gossip_message hello;
--- a/lib/node/components/membership_component.cpp
+++ b/lib/node/components/membership_component.cpp
@@ -12,7 +12,9 @@
 namespace chestnutstand {
 namespace {
 
-constexpr milliseconds tail_check_interval{1'000};
+constexpr milliseconds tail_check_interval{250};
+/// Somewhat more than a probe period, in which a node hears at least the answer to its own probe.
+constexpr milliseconds silence_limit{1'250};
 
 /// Joins the other nodes and connects gossip with the configuration.
 class membership_component final : public component {
@@ -75,9 +77,13 @@
     }
 
     /// A few nodes per data centre read the source of the document; the others learn from them by
-    /// gossip. Nodes that disagree about who is alive only make a few more or fewer of them read.
+    /// gossip, or read themselves while they hear nothing. Nodes that disagree about who is alive
+    /// only make a few more or fewer of them read.
     bool tails_document(kernel& node) const
     {
+        if (members_->silence() > silence_limit) {
+            return true;
+        }
         std::size_t lower = 0;
         for (const member& each : members_->members()) {
             const bool counts = is_live(each) && each.data_centre == node.config().data_centre;
--- a/unittests/config/record_follower_test.cpp
+++ b/unittests/config/record_follower_test.cpp
@@ -35,6 +35,12 @@
         add({false, from, std::move(done)});
     }
 
+    std::size_t waiting()
+    {
+        const std::lock_guard lock{mutex_};
+        return reads_.size();
+    }
+
     read next()
     {
         std::unique_lock lock{mutex_};
@@ -104,6 +110,14 @@
         read.done(keyed_page{{{"k", record_of(version_found), next - 1}}, next});
     }
 
+    /// Lets the follower do all that it has queued.
+    void settle()
+    {
+        for (int i = 0; i < 3; ++i) {
+            on_control([] {});
+        }
+    }
+
     fake_store store_;
     fake_peers peers_;
     control_loop loop_;
@@ -161,5 +175,31 @@
     });
 }
 
+// Guards against a fleet in which every node asks the store for every change.
+TEST_F(record_follower_test, leaves_the_store_to_the_readers)
+{
+    on_control([&] { follower_->set_tailing(false); });
+    answer_newest(3, 5);
+    settle();
+    EXPECT_EQ(version(), 3U);
+    EXPECT_EQ(store_.waiting(), 0U);
+}
+
+// Guards against a node that keeps an old document because the peer that announced a newer one
+// cannot be reached.
+TEST_F(record_follower_test, reads_the_store_when_a_peer_cannot_be_asked)
+{
+    on_control([&] { follower_->set_tailing(false); });
+    answer_newest(3, 5);
+    settle();
+    on_control([&] { follower_->hint({7, "127.0.0.1", 1}, 4); });
+    const auto follow = store_.next();
+    EXPECT_EQ(follow.from, 5U);
+    follow.done(keyed_page{{{"k", record_of(4), 5}}, 6});
+    settle();
+    EXPECT_EQ(version(), 4U);
+    EXPECT_EQ(store_.waiting(), 0U);
+}
+
 } // namespace
 } // namespace chestnutstand
--- a/unittests/membership/membership_test.cpp
+++ b/unittests/membership/membership_test.cpp
@@ -1,3 +1,5 @@
+#include "chestnutstand/membership/gossip_codec.h"
+#include "chestnutstand/membership/keyed_directory.h"
 #include "chestnutstand/membership/membership.h"
 
 #include <gtest/gtest.h>
@@ -53,6 +55,57 @@
     bool down_ = false;
 };
 
+/// Keyed store in memory that counts its calls.
+class memory_store final : public keyed_store {
+public:
+    void put(store_topic /*topic*/, const std::string& key, std::string value,
+             write_done done) override
+    {
+        {
+            const std::lock_guard lock{mutex_};
+            ++calls_;
+            records_[key] = std::move(value);
+        }
+        done(absl::OkStatus());
+    }
+
+    void newest(store_topic /*topic*/, read_done done) override
+    {
+        keyed_page page;
+        {
+            const std::lock_guard lock{mutex_};
+            ++calls_;
+            for (const auto& [key, value] : records_) {
+                page.records.push_back({key, value, page.next++});
+            }
+        }
+        done(std::move(page));
+    }
+
+    void follow(store_topic /*topic*/, std::uint64_t /*from*/, milliseconds /*wait*/,
+                read_done done) override
+    {
+        done(absl::UnimplementedError(""));
+    }
+
+    bool holds(const std::string& key)
+    {
+        const std::lock_guard lock{mutex_};
+        return records_.count(key) != 0U;
+    }
+
+    std::size_t calls()
+    {
+        const std::lock_guard lock{mutex_};
+        return calls_;
+    }
+
+private:
+    std::mutex mutex_;
+    std::map<std::string, std::string> records_;
+    std::size_t calls_ = 0;
+};
+
 /// Hands push-pull exchanges to the membership objects of the same process.
 class local_peers : public peer_client {
 public:
@@ -242,5 +295,28 @@
     EXPECT_EQ(next.get(), 17U);
 }
 
+// Guards against nodes that ask the store again and again while they join.
+TEST(membership, joins_through_a_keyed_store_with_two_calls)
+{
+    memory_store store;
+    const std::string earlier_key = "127.0.0.1:9";
+    member earlier;
+    earlier.node = {77, "127.0.0.1", 9};
+    earlier.gossip_port = 9;
+    store.put(store_topic::members, earlier_key, encode_join_record(earlier), [](auto) {});
+    local_peers peers;
+    control_loop loop;
+    membership node{test_node::options(1, {}), loop, std::make_shared<keyed_directory>(loop, store),
+                    peers};
+    ASSERT_TRUE(node.start().ok());
+    EXPECT_TRUE(eventually([&] { return store.calls() >= 3; }));
+    std::promise<void> seen;
+    loop.post([&] { seen.set_value(); });
+    seen.get_future().wait();
+    EXPECT_EQ(store.calls(), 3U) << "one put of the test, one append and one read of the node";
+    EXPECT_TRUE(store.holds("127.0.0.1:" + std::to_string(node.gossip_port())));
+    loop.stop();
+}
+
 } // namespace
 } // namespace chestnutstand
--- a/unittests/membership/swim_test.cpp
+++ b/unittests/membership/swim_test.cpp
@@ -113,6 +113,47 @@
     EXPECT_LE(network.largest_datagram(), swim_options{}.packet_limit);
 }
 
+// Guards against documents that cross data centres although a member nearby has them.
+TEST(swim, hints_stay_in_the_data_centre_but_for_one)
+{
+    const time_point start{};
+    swim_options options;
+    member self;
+    self.node = {1, "10.0.0.1", 1};
+    self.data_centre = "howrah";
+    swim node{self, options, 1, start};
+    for (std::uint64_t i = 2; i <= 21; ++i) {
+        gossip_message hello;
+        hello.kind = gossip_kind::push;
+        hello.sender.node = {i, "10.0.0.1", static_cast<std::uint16_t>(i)};
+        hello.sender.gossip_port = static_cast<std::uint16_t>(i);
+        hello.sender.data_centre = i % 2 == 0 ? "howrah" : "garia";
+        node.on_message(encode(hello), start);
+    }
+    node.take_output();
+    node.set_config_next_offset(5);
+    const auto hints = node.take_output().datagrams;
+    ASSERT_GE(hints.size(), options.push_fan_out);
+    ASSERT_LE(hints.size(), options.push_fan_out + 1);
+    const auto far = std::count_if(hints.begin(), hints.end(),
+                                   [](const datagram& each) { return each.port % 2 == 1; });
+    EXPECT_LE(far, 1);
+}
+
+// Guards against a node that takes itself for connected while it hears nothing.
+TEST(swim, tells_when_it_last_heard_of_a_member)
+{
+    const time_point start{};
+    member self;
+    self.node = {1, "10.0.0.1", 1};
+    swim node{self, {}, 1, start};
+    EXPECT_EQ(node.last_heard(), start);
+    gossip_message hello;
+    hello.sender.node = {2, "10.0.0.2", 1};
+    node.on_message(encode(hello), start + second);
+    EXPECT_EQ(node.last_heard(), start + second);
+}
+
 class partition_test : public testing::Test {
 protected:
     partition_test() { network_.add_cluster(16, two_data_centres); }
