Close a connection whose response belongs to another request

The connection with one response too many was used again, so that each request got the response of the one before it. Ruled out: the drain limit (nodes stopped after 2.4 to 3.6 s), links between nodes (no peer_connection_lost before the mass kill at 26.9 s).

Test: http_client.leaves_a_connection_whose_response_is_for_another_request, failed before.

--- a/include/chestnutstand/transport/call.h
+++ b/include/chestnutstand/transport/call.h
@@ -28,6 +28,9 @@
     std::string body;
     /// Forbids a pooled connection, which may have gone silent since its last use.
     bool fresh_connection = false;
+    /// Name of a header that the response has to repeat; empty when there is none. A connection
+    /// with another response is not used again: the one that belongs to the request may still come.
+    std::string echoed_header{};
 };
 
 struct http_response {
--- a/lib/node/upstream_exchange.cpp
+++ b/lib/node/upstream_exchange.cpp
@@ -71,6 +71,7 @@
     const auto timeout =
         what.idempotency_key.empty() ? left : upstream_timeout(what, ms_clock::now());
     add_header(request, names.request_id, what.request_id);
+    request.echoed_header = names.request_id;
     add_header(request, names.priority, what.priority);
     add_header(request, names.timeout_ms, std::to_string(std::lround(timeout.count())));
     // The upstream copies the depth into its own calls, which are one step deeper.
--- a/lib/transport/curl_client.cpp
+++ b/lib/transport/curl_client.cpp
@@ -40,6 +40,8 @@
     curl_slist* headers = nullptr;
     bool request_sent = false;
     bool headers_complete = false;
+    /// The header block is that of an interim response, which another one follows.
+    bool interim = false;
     bool chunked = false;
     bool too_large = false;
     std::size_t max_response_bytes = 0;
@@ -54,6 +56,20 @@
     }
 };
 
+/// Whether the response names the request that it answers.
+bool answers_its_request(const transfer& received)
+{
+    const auto& name = received.request.echoed_header;
+    return name.empty() || find_header(received.result.response.headers, name) ==
+                               find_header(received.request.headers, name);
+}
+
+bool is_interim(std::string_view status_line)
+{
+    const auto space = status_line.find(' ');
+    return space != std::string_view::npos && status_line.substr(space + 1, 1) == "1";
+}
+
 std::size_t on_header(char* data, std::size_t size, std::size_t count, void* user)
 {
     auto& self = *static_cast<transfer*>(user);
@@ -63,10 +79,14 @@
         self.result.response.headers.clear();
         self.chunked = false;
         self.headers_complete = false;
+        self.interim = is_interim(line);
         return line.size();
     }
     if (line == "\r\n" || line == "\n") {
         self.headers_complete = true;
+        if (!self.interim && !answers_its_request(self)) {
+            curl_easy_setopt(self.handle, CURLOPT_FORBID_REUSE, 1L);
+        }
         return line.size();
     }
     const auto colon = line.find(':');
--- a/unittests/transport/http_client_test.cpp
+++ b/unittests/transport/http_client_test.cpp
@@ -2,6 +2,8 @@
 
 #include "raw_socket.h"
 
+#include "chestnutstand/transport/headers.h"
+
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -231,6 +233,30 @@
     EXPECT_EQ(server.connections(), 2);
 }
 
+// Guards against a connection on which one extra response shifts all that follow.
+TEST(http_client, leaves_a_connection_whose_response_is_for_another_request)
+{
+    const auto answer = [](const std::string& id) {
+        return "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nId: " + id + "\r\n\r\n";
+    };
+    fake_server server{[&](raw_socket& connection, int number, int) {
+        return connection.send(number == 0 ? answer("late") : answer("mine"));
+    }};
+    const auto client = make_http_client();
+    const auto send = [&] {
+        std::promise<http_result> ended;
+        http_request request{"GET", "/", {{"Id", "mine"}}, "", false};
+        request.echoed_header = "Id";
+        client->send(server.url(), std::move(request), long_timeout,
+                     [&](http_result result) { ended.set_value(std::move(result)); });
+        return find_header(ended.get_future().get().response.headers, "id").value_or("") == "mine";
+    };
+    EXPECT_FALSE(send());
+    EXPECT_TRUE(send());
+    EXPECT_TRUE(send());
+    EXPECT_EQ(server.connections(), 2);
+}
+
 // Guards against responses that are given to the wrong one of many concurrent requests.
 TEST(http_client, gives_each_request_its_own_response)
 {
