Stop a call after a few full queues

Each attempt takes time on two nodes and the bytes of the call between data centres. Ruled out: a wrong choice of the first node (most chosen nodes had just run calls).

Conclusion: in an overload, further moves cost more calls than they place.

--- a/include/chestnutstand/routing/balancing_policy.h
+++ b/include/chestnutstand/routing/balancing_policy.h
@@ -83,6 +83,9 @@
 
 inline constexpr std::string_view default_policy = "two_choices";
 
+/// Whether a recent report says that the peer would start a call at once.
+bool has_known_room(const load_view& view);
+
 /// Expected cost of sending a call to a candidate, in milliseconds.
 double expected_cost(const candidate& peer, const selection& circumstances);
 
--- a/include/chestnutstand/routing/upstream_selector.h
+++ b/include/chestnutstand/routing/upstream_selector.h
@@ -40,9 +40,16 @@
     upstream_selector(const snapshot<routing_table>& routes,
                       const snapshot<document>& configuration, selector_options options);
 
-    /// A member for a call, chosen by the policy of the service; null when there is none.
+    /// A member for a call, chosen by the policy of the service; null when there is none. A call
+    /// that several queues have refused goes only to members that are known to have room.
+    ///
+    /// Load pattern: a burst or a loss of members that fills all queues. Most further members
+    /// refuse as well, and each refusal costs both nodes the time and the bytes of the call, so
+    /// that fewer calls are served. The most urgent class of a service is a small part of such a
+    /// load and its refusals cost most, so that it is carried further.
     std::shared_ptr<peer> choose(const std::string& service, std::string_view priority,
-                                 const std::vector<std::uint64_t>& left_out);
+                                 const std::vector<std::uint64_t>& left_out,
+                                 std::size_t queue_refusals = 0);
 
     /// The member with the instance of the node; a node that is no member gets a new entry that
     /// belongs to no service.
@@ -91,7 +98,8 @@
     service_state* find_service(const std::string& service);
     void configure(service_state& state, const service_config& declared) const;
     std::shared_ptr<peer> choose_from(service_state& state, std::string_view priority,
-                                      const std::vector<std::uint64_t>& left_out);
+                                      const std::vector<std::uint64_t>& left_out,
+                                      std::size_t queue_refusals);
     candidate candidate_for(const peer& entry) const;
     void store_report(peer& target, const service_state& state, const load_report& report,
                       time_point now) const;
--- a/lib/node/dispatched_call.h
+++ b/lib/node/dispatched_call.h
@@ -41,6 +41,8 @@
     /// One for each attempt, so that the attempts that lose against a hedge can be ended.
     std::vector<std::shared_ptr<cancellation>> cancels;
     std::size_t placements = 0;
+    /// Attempts that admission queues have refused.
+    std::size_t queue_refusals = 0;
     std::uint64_t document_version = 0;
     /// What became of the attempts, for the log line of the call.
     std::string history;
--- a/lib/node/dispatcher.cpp
+++ b/lib/node/dispatcher.cpp
@@ -43,6 +43,13 @@
     return result.outcome != outcome::not_run || result.why == reason::upstream_refused;
 }
 
+bool refused_by_queue(const call_result& result)
+{
+    return result.outcome == outcome::not_run &&
+           (result.why == reason::queue_full || result.why == reason::queue_timeout ||
+            result.why == reason::deadline_unmeetable);
+}
+
 /// Whether a complete response says that another attempt may do better.
 bool transient_failure(const http_response& response)
 {
@@ -237,10 +244,14 @@
             return false;
         }
         carried = *part;
-        target = selector_.choose(running->what.service, running->what.priority, running->tried);
+        const call& what = running->what;
+        const auto choose = [&] {
+            return selector_.choose(what.service, what.priority, running->tried,
+                                    running->queue_refusals);
+        };
+        target = choose();
         if (!target && running->settle_for_slow()) {
-            target =
-                selector_.choose(running->what.service, running->what.priority, running->tried);
+            target = choose();
         }
         if (!target) {
             running->budget.give_back(carried);
@@ -304,6 +315,7 @@
             return;
         }
         running->note_attempt(result);
+        running->queue_refusals += refused_by_queue(result) ? 1 : 0;
         if (result.why == reason::upstream_slow && result.load) {
             running->slow.push_back(result.load->instance);
         }
--- a/lib/routing/balancing_policy.cpp
+++ b/lib/routing/balancing_policy.cpp
@@ -23,6 +23,9 @@
 constexpr double slow_pace = 1.5;
 constexpr milliseconds pace_memory{150};
 
+/// Age up to which a report of room is worth another placement of a call that was refused.
+constexpr milliseconds room_memory{250};
+
 /// Peers whose distance differs by less are taken as equally near.
 constexpr milliseconds same_distance{0.5};
 
@@ -123,25 +126,30 @@
     return view.pace >= slow_pace && view.report_age && *view.report_age <= pace_memory;
 }
 
+bool has_room(const load_view& view)
+{
+    const double limit = view.limit > 0 ? static_cast<double>(view.limit) : unknown_limit;
+    return known_load(view) < room_below * limit && !is_slow(view);
+}
+
 /// Candidates of the nearest data centre that has any with room; all when none has room.
 std::vector<candidate> nearest_with_room(std::span<const candidate> candidates,
                                          const selection& circumstances,
                                          std::vector<std::size_t>& indexes)
 {
-    std::vector<bool> has_room(candidates.size());
+    std::vector<bool> roomy(candidates.size());
     milliseconds nearest = milliseconds::max();
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const load_view view = candidates[i].load->read(circumstances.rank, circumstances.now);
-        const double limit = view.limit > 0 ? static_cast<double>(view.limit) : unknown_limit;
-        has_room[i] = known_load(view) < room_below * limit && !is_slow(view);
-        if (has_room[i]) {
+        roomy[i] = has_room(view);
+        if (roomy[i]) {
             nearest = std::min(nearest, candidates[i].distance);
         }
     }
     const bool any = nearest != milliseconds::max();
     std::vector<candidate> wanted;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
-        if (!any || (has_room[i] && candidates[i].distance <= nearest + same_distance)) {
+        if (!any || (roomy[i] && candidates[i].distance <= nearest + same_distance)) {
             wanted.push_back(candidates[i]);
             indexes.push_back(i);
         }
@@ -190,6 +198,11 @@
 
 } // namespace
 
+bool has_known_room(const load_view& view)
+{
+    return view.report_age && *view.report_age <= room_memory && has_room(view);
+}
+
 double expected_cost(const candidate& peer, const selection& circumstances)
 {
     const load_view view = peer.load->read(circumstances.rank, circumstances.now);
--- a/lib/routing/upstream_selector.cpp
+++ b/lib/routing/upstream_selector.cpp
@@ -22,6 +22,16 @@
 
 constexpr double hedge_quantile = 0.95;
 
+/// Queues that may refuse a call before it goes only to members with known room. Two members that
+/// were chosen by their load rarely are the only full ones.
+constexpr std::size_t refusals_before_room_most_urgent = 4;
+constexpr std::size_t refusals_before_room_others = 2;
+
+std::size_t refusals_before_room(std::size_t rank)
+{
+    return rank == 0 ? refusals_before_room_most_urgent : refusals_before_room_others;
+}
+
 /// Whether the reason says that the member takes no work at all at the moment.
 bool takes_no_work(reason why)
 {
@@ -126,10 +136,17 @@
 
 std::shared_ptr<peer> upstream_selector::choose_from(service_state& state,
                                                      std::string_view priority,
-                                                     const std::vector<std::uint64_t>& left_out)
+                                                     const std::vector<std::uint64_t>& left_out,
+                                                     std::size_t queue_refusals)
 {
     const time_point now = options_.now();
-    const peer_list eligible = state.peers.eligible(left_out, now, random_);
+    const selection circumstances{state.order.rank(priority), now};
+    peer_list eligible = state.peers.eligible(left_out, now, random_);
+    if (queue_refusals >= refusals_before_room(circumstances.rank)) {
+        std::erase_if(eligible, [&](const auto& entry) {
+            return !has_known_room(entry->load.read(circumstances.rank, now));
+        });
+    }
     if (eligible.empty()) {
         return nullptr;
     }
@@ -138,17 +155,17 @@
     for (const std::shared_ptr<peer>& entry : eligible) {
         candidates.push_back(candidate_for(*entry));
     }
-    const selection circumstances{state.order.rank(priority), now};
     return eligible[state.policy->choose(candidates, circumstances, random_)];
 }
 
 std::shared_ptr<peer> upstream_selector::choose(const std::string& service,
                                                 std::string_view priority,
-                                                const std::vector<std::uint64_t>& left_out)
+                                                const std::vector<std::uint64_t>& left_out,
+                                                std::size_t queue_refusals)
 {
     const std::lock_guard lock{mutex_};
     service_state* state = find_service(service);
-    return state == nullptr ? nullptr : choose_from(*state, priority, left_out);
+    return state == nullptr ? nullptr : choose_from(*state, priority, left_out, queue_refusals);
 }
 
 std::shared_ptr<peer> upstream_selector::find(const std::string& service,
@@ -208,7 +225,7 @@
     const std::lock_guard lock{mutex_};
     service_state* state = find_service(service);
     while (state != nullptr && chosen.size() < count) {
-        const std::shared_ptr<peer> next = choose_from(*state, priority, left_out);
+        const std::shared_ptr<peer> next = choose_from(*state, priority, left_out, 0);
         if (!next) {
             break;
         }
--- a/unittests/node/dispatcher_test.cpp
+++ b/unittests/node/dispatcher_test.cpp
@@ -142,6 +142,19 @@
     EXPECT_EQ(counters_.value(reason_event::retried, reason::queue_full), 1U);
 }
 
+// Guards against an overload in which each call is carried to many full members, which takes the
+// time and the bytes that served calls need, and against urgent calls that give up as soon.
+TEST_F(dispatcher_test, stops_after_a_few_full_queues)
+{
+    publish_members(8);
+    answer_with([](int) { return not_run(reason::queue_full); });
+    EXPECT_EQ(run("payment").why, reason::queue_full);
+    EXPECT_EQ(attempts_.size(), 2U);
+    attempts_.clear();
+    EXPECT_EQ(run("lookup").why, reason::queue_full);
+    EXPECT_EQ(attempts_.size(), 4U);
+}
+
 // Guards against calls that keep going to a node that cannot be reached.
 TEST_F(dispatcher_test, avoids_unreachable_member)
 {
--- a/unittests/routing/balancing_policy_test.cpp
+++ b/unittests/routing/balancing_policy_test.cpp
@@ -62,6 +62,20 @@
     }
 }
 
+// Guards against refused calls that are carried on to members whose room is only assumed.
+TEST_F(balancing_policy_test, room_is_known_from_recent_reports_only)
+{
+    const auto known_at = [&](std::size_t index, milliseconds age) {
+        return has_known_room(loads_.at(index).read(0, now + age));
+    };
+    EXPECT_FALSE(known_at(0, milliseconds{0}));
+    report(0, 3);
+    EXPECT_TRUE(known_at(0, milliseconds{100}));
+    EXPECT_FALSE(known_at(0, milliseconds{300}));
+    report(1, 9);
+    EXPECT_FALSE(known_at(1, milliseconds{0}));
+}
+
 // Guards against traffic to the most loaded peer: of two different candidates it is never the
 // better one.
 TEST_F(balancing_policy_test, two_choices_leaves_out_the_costliest)
