Ask refused callers back while their target can still be met

Cause: Retry-After was a fixed second, longer than the latency target of most classes. A caller that came back got at best a late answer. Ruled out: longer waits; callers wait for a third of their time at most, and bursts last longer.

--- a/include/chestnutstand/node/problem.h
+++ b/include/chestnutstand/node/problem.h
@@ -15,8 +15,8 @@
 http_response make_problem(outcome how, reason why, std::string_view detail = {}, int status = 0);
 
 /// The response a caller gets for the result of a routed call: 503 promises that the request has
-/// not run and will not run.
-http_response make_routed_response(call_result result);
+/// not run and will not run, and says when to come back.
+http_response make_routed_response(call_result result, milliseconds retry_after);
 
 /// The response a caller gets for the result of its call.
 http_response make_response(call_result result);
--- a/lib/node/ingress.cpp
+++ b/lib/node/ingress.cpp
@@ -1,5 +1,6 @@
 #include "chestnutstand/node/ingress.h"
 
+#include "chestnutstand/admission/return_time.h"
 #include "chestnutstand/node/call_parser.h"
 #include "chestnutstand/node/problem.h"
 #include "chestnutstand/support/log.h"
@@ -63,6 +64,14 @@
     return static_cast<double>(number * golden_ratio) / two_to_the_64;
 }
 
+/// Latency target of the class of a parsed call.
+milliseconds target_of(const document& in_force, const call& what)
+{
+    const auto* service = in_force.find_service(what.service);
+    const auto* priority = service != nullptr ? service->find_priority(what.priority) : nullptr;
+    return priority != nullptr ? priority->latency_target : milliseconds{0};
+}
+
 } // namespace
 
 ingress::ingress(ingress_options options, const snapshot<document>& in_force, dispatcher& dispatch,
@@ -147,9 +156,11 @@
     }
     what.cancel = response->disconnected();
     latency_histogram& latency = stats_.call_latency(what.service, what.priority);
-    dispatcher_.dispatch(what, [this, response, start, &latency](call_result result) {
+    const auto retry_after =
+        return_time(target_of(*in_force, what), split_position(next_return_++));
+    dispatcher_.dispatch(what, [this, response, start, &latency, retry_after](call_result result) {
         latency.record(ms_clock::now() - start);
-        send(*response, make_routed_response(std::move(result)));
+        send(*response, make_routed_response(std::move(result), retry_after));
         --in_flight_;
     });
 }
--- a/lib/node/problem.cpp
+++ b/lib/node/problem.cpp
@@ -2,6 +2,8 @@
 
 #include "chestnutstand/transport/headers.h"
 
+#include <absl/strings/str_format.h>
+
 #include <nlohmann/json.hpp>
 
 #include <utility>
@@ -9,7 +11,12 @@
 namespace chestnutstand {
 namespace {
 
-constexpr std::string_view retry_after_seconds = "1";
+constexpr std::string_view default_retry_after_seconds = "1";
+
+std::string in_seconds(milliseconds time)
+{
+    return absl::StrFormat("%.3f", time.count() / 1000.0);
+}
 
 std::string default_detail(outcome how)
 {
@@ -77,19 +84,23 @@
     response.headers.push_back({std::string{header::outcome}, std::string{to_string(how)}});
     response.headers.push_back({std::string{header::reason}, std::string{to_string(why)}});
     if (response.status == 503) {
-        response.headers.push_back({"Retry-After", std::string{retry_after_seconds}});
+        response.headers.push_back({"Retry-After", std::string{default_retry_after_seconds}});
     }
     return response;
 }
 
-http_response make_routed_response(call_result result)
+http_response make_routed_response(call_result result, milliseconds retry_after)
 {
     if (result.outcome == outcome::completed) {
         return std::move(result.response);
     }
     const int promise = 503;
-    return make_problem(result.outcome, result.why, {},
-                        result.outcome == outcome::not_run ? promise : 0);
+    auto made = make_problem(result.outcome, result.why, {},
+                             result.outcome == outcome::not_run ? promise : 0);
+    if (made.status == promise) {
+        set_header(made.headers, "Retry-After", in_seconds(retry_after));
+    }
+    return made;
 }
 
 http_response make_response(call_result result)
--- a/unittests/node/routed_call_test.cpp
+++ b/unittests/node/routed_call_test.cpp
@@ -148,10 +148,14 @@
 // Guards against a promise that nothing has run while it may have.
 TEST_F(routed_call, promises_only_what_is_known)
 {
-    EXPECT_EQ(make_routed_response(not_run(reason::deadline_exceeded)).status, 503);
-    EXPECT_EQ(make_routed_response(not_run(reason::queue_full)).status, 503);
-    EXPECT_EQ(make_routed_response(unknown_outcome(reason::time_limit)).status, 504);
-    EXPECT_EQ(make_routed_response(unknown_outcome(reason::peer_connection_lost)).status, 502);
+    EXPECT_EQ(make_routed_response(not_run(reason::deadline_exceeded), milliseconds{250}).status,
+              503);
+    EXPECT_EQ(make_routed_response(not_run(reason::queue_full), milliseconds{250}).status, 503);
+    EXPECT_EQ(make_routed_response(unknown_outcome(reason::time_limit), milliseconds{250}).status,
+              504);
+    EXPECT_EQ(make_routed_response(unknown_outcome(reason::peer_connection_lost), milliseconds{250})
+                  .status,
+              502);
 }
 
 } // namespace
