Probe members that stop answering, leave them until they answer

A member was found by probes to random stale members, and got calls again after each second of avoidance. Ruled out: gossip, which drops a frozen member after 2 to 4 s as designed.

A member with an unanswered call and no sign of life for 1.5 times its latency is probed; it stays avoided while probes fail. Random probes of stale members, ten a second on each node, fall to one: with tens of members a report is old again before it is used.

--- a/include/chestnutstand/routing/peer_load.h
+++ b/include/chestnutstand/routing/peer_load.h
@@ -37,7 +37,7 @@
 class peer_load {
 public:
     /// Counts a call as sent.
-    void begin_call();
+    void begin_call(time_point now);
 
     /// Ends a call that was counted by begin_call. Without a good answer from the upstream the
     /// elapsed time is only a lower bound of the latency: a timeout shows that the peer is slow, a
@@ -49,8 +49,17 @@
 
     load_view read(std::size_t rank, time_point now) const;
 
+    /// How long nothing has been heard of the peer although a call is unanswered; zero while none
+    /// is.
+    milliseconds silence(time_point now) const;
+
+    /// Recent latency of replies, network included; zero while it is not known.
+    milliseconds latency(time_point now) const;
+
     /// Keeps new calls away until then, for instance after a failed connection.
     void avoid_until(time_point until);
+    /// The peer answers again. Latencies from before say nothing of it now.
+    void stop_avoiding();
     bool avoided(time_point now) const;
 
 private:
@@ -63,13 +72,15 @@
     std::uint16_t limit_ = 0;
     /// Queue lengths by priority rank.
     std::array<std::uint16_t, priority_rank_count> queued_{};
-    time_point reported_at_{};
-    time_point replied_at_{};
-    time_point avoided_until_{};
     float latency_ms_ = 0.0F;
     float reported_latency_ms_ = 0.0F;
     float pace_ = 1.0F;
-    bool has_report_ = false;
+    /// The start of the clock while there is no report.
+    time_point reported_at_{};
+    time_point replied_at_{};
+    /// Since when the silence is counted.
+    time_point silent_since_{};
+    time_point avoided_until_{};
 };
 
 } // namespace chestnutstand
--- a/include/chestnutstand/routing/service_peers.h
+++ b/include/chestnutstand/routing/service_peers.h
@@ -8,6 +8,7 @@
 #include <atomic>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -21,6 +22,9 @@
     peer_load load;
     /// Set while a probe is under way.
     std::atomic<bool> probing{false};
+    /// When to probe again after a probe that failed; nothing after one that was answered. Only
+    /// used by the selector that owns the entry.
+    std::optional<time_point> probe_again_at;
 };
 
 using peer_list = std::vector<std::shared_ptr<peer>>;
--- a/include/chestnutstand/routing/upstream_selector.h
+++ b/include/chestnutstand/routing/upstream_selector.h
@@ -74,8 +74,11 @@
     /// Time after which a call of the class is slower than 95% of the recent ones.
     std::optional<milliseconds> hedge_delay(const std::string& service, std::string_view priority);
 
-    /// A member whose report is stale and that may be probed now; null when there is none. The
-    /// caller must end the probe with record_probe.
+    /// A member that may be probed now: one that does not answer, or else now and then one whose
+    /// report is stale; null when there is none. The caller must end the probe with record_probe.
+    ///
+    /// Load pattern: a node that is frozen, cut off or starved of processor time. Calls would pile
+    /// up there until their deadlines, as many from each node as its upstream has slots.
     std::shared_ptr<peer> take_probe_target(const std::string& service);
 
     /// Learns from a probe; the report is empty when the probe failed.
@@ -96,6 +99,8 @@
     };
 
     service_state* find_service(const std::string& service);
+    std::shared_ptr<peer> unresponsive_member(const service_state& state, time_point now) const;
+    std::shared_ptr<peer> stale_member(const service_state& state, time_point now);
     void configure(service_state& state, const service_config& declared) const;
     std::shared_ptr<peer> choose_from(service_state& state, std::string_view priority,
                                       const std::vector<std::uint64_t>& left_out,
@@ -111,6 +116,7 @@
     random_generator random_;
     distance_table distances_;
     token_bucket probes_;
+    token_bucket idle_probes_;
     std::unordered_map<std::string, service_state> services_;
 };
 
--- a/lib/node/dispatcher.cpp
+++ b/lib/node/dispatcher.cpp
@@ -422,8 +422,8 @@
         attempt.request_id = std::to_string(options_.self_instance) + "-" +
                              std::to_string(next_request_.fetch_add(1));
     }
-    target->load.begin_call();
     const time_point sent = options_.now();
+    target->load.begin_call(sent);
     call_done learn = [self = shared_from_this(), target, service = what.service,
                        priority = what.priority, cancel, sent,
                        done = std::move(done)](call_result result) {
--- a/lib/routing/peer_load.cpp
+++ b/lib/routing/peer_load.cpp
@@ -26,9 +26,12 @@
 
 } // namespace
 
-void peer_load::begin_call()
+void peer_load::begin_call(time_point now)
 {
     const std::lock_guard lock{mutex_};
+    if (own_in_flight_ == 0) {
+        silent_since_ = now;
+    }
     ++own_in_flight_;
     ++sent_since_report_;
 }
@@ -62,8 +65,8 @@
     reported_latency_ms_ = static_cast<float>(report.latency.count());
     pace_ = static_cast<float>(report.pace);
     sent_since_report_ = 0;
+    silent_since_ = now;
     reported_at_ = now;
-    has_report_ = true;
 }
 
 load_view peer_load::read(std::size_t rank, time_point now) const
@@ -80,18 +83,37 @@
     view.latency = decayed_latency(now);
     view.reported_latency = milliseconds{reported_latency_ms_};
     view.pace = pace_;
-    if (has_report_) {
+    if (reported_at_ != time_point{}) {
         view.report_age = now - reported_at_;
     }
     return view;
 }
 
+milliseconds peer_load::silence(time_point now) const
+{
+    const std::lock_guard lock{mutex_};
+    return own_in_flight_ > 0 ? now - silent_since_ : milliseconds{0};
+}
+
+milliseconds peer_load::latency(time_point now) const
+{
+    const std::lock_guard lock{mutex_};
+    return decayed_latency(now);
+}
+
 void peer_load::avoid_until(time_point until)
 {
     const std::lock_guard lock{mutex_};
     avoided_until_ = std::max(avoided_until_, until);
 }
 
+void peer_load::stop_avoiding()
+{
+    const std::lock_guard lock{mutex_};
+    avoided_until_ = {};
+    latency_ms_ = 0.0F;
+}
+
 bool peer_load::avoided(time_point now) const
 {
     const std::lock_guard lock{mutex_};
--- a/lib/routing/upstream_selector.cpp
+++ b/lib/routing/upstream_selector.cpp
@@ -19,6 +19,19 @@
 /// Probes to nodes, whatever the number of calls, services and members.
 constexpr double probes_per_s = 10.0;
 constexpr double probe_burst = 2.0;
+/// Probes to members that are only not known well. Calls bring reports, so that these matter for
+/// members without calls.
+constexpr double idle_probes_per_s = 1.0;
+constexpr double idle_probe_burst = 1.0;
+
+/// Silence from which a member with an unanswered call is probed: longer than usual calls take, as
+/// most are answered in between.
+constexpr milliseconds shortest_silence{150};
+constexpr double silence_of_latency = 1.5;
+
+/// Pause after a probe that failed; shorter than the avoidance, so that calls do not go there in
+/// between.
+constexpr milliseconds failed_probe_pause{250};
 
 constexpr double hedge_quantile = 0.95;
 
@@ -76,7 +89,8 @@
                                      selector_options options)
     : routes_{routes}, configuration_{configuration}, options_{std::move(options)},
       random_{options_.seed}, distances_{options_.data_centre}, probes_{probes_per_s, probe_burst,
-                                                                        options_.now()}
+                                                                        options_.now()},
+      idle_probes_{idle_probes_per_s, idle_probe_burst, options_.now()}
 {
 }
 
@@ -300,41 +314,78 @@
                                            : found->second.value(hedge_quantile, options_.now());
 }
 
-std::shared_ptr<peer> upstream_selector::take_probe_target(const std::string& service)
+std::shared_ptr<peer> upstream_selector::unresponsive_member(const service_state& state,
+                                                             time_point now) const
 {
-    const std::lock_guard lock{mutex_};
-    service_state* state = find_service(service);
-    if (state == nullptr || state->policy->reports() == report_source::none) {
-        return nullptr;
-    }
-    const peer_list& members = state->peers.all();
-    if (members.empty()) {
-        return nullptr;
+    for (const std::shared_ptr<peer>& entry : state.peers.all()) {
+        if (entry->node.instance == options_.self_instance || entry->probing.load()) {
+            continue;
+        }
+        if (entry->probe_again_at) {
+            if (*entry->probe_again_at <= now) {
+                return entry;
+            }
+            continue;
+        }
+        const auto limit =
+            std::max(shortest_silence, entry->load.latency(now) * silence_of_latency);
+        if (entry->load.silence(now) >= limit) {
+            return entry;
+        }
     }
-    const time_point now = options_.now();
+    return nullptr;
+}
+
+std::shared_ptr<peer> upstream_selector::stale_member(const service_state& state, time_point now)
+{
+    const peer_list& members = state.peers.all();
     const std::size_t index =
         std::uniform_int_distribution<std::size_t>{0, members.size() - 1}(random_);
     const std::shared_ptr<peer>& entry = members[index];
     const std::optional<milliseconds> age = entry->load.read(0, now).report_age;
     const bool stale = !age || *age > stale_report;
-    if (!stale || entry->node.instance == options_.self_instance || entry->probing.load() ||
-        !probes_.try_take(now)) {
+    const bool wanted = stale && entry->node.instance != options_.self_instance &&
+                        !entry->probing.load() && !entry->probe_again_at;
+    return wanted ? entry : nullptr;
+}
+
+std::shared_ptr<peer> upstream_selector::take_probe_target(const std::string& service)
+{
+    const std::lock_guard lock{mutex_};
+    service_state* state = find_service(service);
+    if (state == nullptr || state->policy->reports() == report_source::none ||
+        state->peers.all().empty()) {
         return nullptr;
     }
-    entry->probing.store(true);
-    return entry;
+    const time_point now = options_.now();
+    std::shared_ptr<peer> target = unresponsive_member(*state, now);
+    token_bucket* permits = &probes_;
+    if (!target) {
+        target = stale_member(*state, now);
+        permits = state->policy->reports() == report_source::probes ? &probes_ : &idle_probes_;
+    }
+    if (!target || !permits->try_take(now)) {
+        return nullptr;
+    }
+    target->probing.store(true);
+    return target;
 }
 
 void upstream_selector::record_probe(peer& target, const std::string& service,
                                      const std::optional<load_report>& report, time_point sent)
 {
     const time_point now = options_.now();
+    const std::lock_guard lock{mutex_};
     target.probing.store(false);
     if (!report) {
+        target.probe_again_at = now + failed_probe_pause;
         target.load.avoid_until(now + avoidance);
         return;
     }
-    const std::lock_guard lock{mutex_};
+    if (target.probe_again_at) {
+        target.probe_again_at.reset();
+        target.load.stop_avoiding();
+    }
     distances_.record(target.data_centre, now - sent, now);
     const service_state* state = find_service(service);
     if (state != nullptr) {
