Follow the settings file while a node runs

The node looks at the file at once after SIGHUP and every 2 s; log level, retry limits and the times of a drain take effect, other changed keys are named in the log line.

--- a/include/chestnutstand/node/dispatcher.h
+++ b/include/chestnutstand/node/dispatcher.h
@@ -63,6 +63,9 @@
     std::vector<node_reference> choose_distinct(const std::string& service,
                                                 std::string_view priority, std::size_t count);
 
+    /// Replaces the limits of retries that all nodes share.
+    void set_retry_limits(const std::optional<fleet_retry_limits>& limits);
+
 private:
     class core;
     std::shared_ptr<core> core_;
--- a/include/chestnutstand/node/kernel.h
+++ b/include/chestnutstand/node/kernel.h
@@ -38,6 +38,9 @@
 
     virtual absl::Status start(kernel& node) = 0;
 
+    /// Settings that may change while the node runs have changed.
+    virtual void reload(kernel& node);
+
     /// A planned stop begins: take no new work.
     virtual void begin_drain(kernel& node);
 
@@ -70,6 +73,10 @@
     /// Starts all registered components.
     absl::Status start();
 
+    /// Follows changed settings where that is possible in a running process: log level, retry
+    /// limits and the times of a drain. Not during a drain.
+    void reload(const settings& changed);
+
     /// Drains, waits until the node is idle or the drain limit has passed, and stops. Returns
     /// whether the node was idle.
     bool drain_and_stop();
--- a/include/chestnutstand/routing/upstream_selector.h
+++ b/include/chestnutstand/routing/upstream_selector.h
@@ -63,6 +63,9 @@
     std::vector<node_reference> choose_distinct(const std::string& service,
                                                 std::string_view priority, std::size_t count);
 
+    /// Replaces the limits that all nodes share.
+    void set_retry_limits(const std::optional<fleet_retry_limits>& limits);
+
     /// Learns from the end of a call that was counted with peer_load::begin_call.
     void record_result(peer& target, const std::string& service, const std::string& priority,
                        const call_result& result, time_point sent);
@@ -113,6 +116,8 @@
     const snapshot<document>& configuration_;
     const selector_options options_;
     std::mutex mutex_;
+    /// Limits that all nodes share; without them each node has its own.
+    std::optional<fleet_retry_limits> retry_limits_;
     random_generator random_;
     distance_table distances_;
     token_bucket probes_;
--- a/include/chestnutstand/support/log.h
+++ b/include/chestnutstand/support/log.h
@@ -19,6 +19,9 @@
 /// Starts logging of JSON lines to standard output. Levels: debug, info, warning, error.
 void init_logging(log_level lowest);
 
+/// Changes the lowest level while the process runs.
+void set_log_level(log_level lowest);
+
 /// Level of a name, or info when the name is none of the four.
 log_level log_level_from(std::string_view name);
 
--- a/lib/node/components/dispatcher_component.cpp
+++ b/lib/node/components/dispatcher_component.cpp
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <utility>
 
 namespace chestnutstand {
@@ -41,11 +42,7 @@
         options.self_instance = node.instance();
         options.data_centre = node.config().data_centre;
         options.seed = node.instance();
-        const retry_settings& retries = node.config().retry_limits;
-        if (retries.window_s > 0.0) {
-            options.retry_limits = {retries.ratio, retries.slack,
-                                    milliseconds{retries.window_s * 1000.0}};
-        }
+        options.retry_limits = limits_from(node.config().retry_limits);
         options.run_after = [&node](milliseconds delay, std::function<void()> work) {
             node.control().post_after(delay, std::move(work));
         };
@@ -56,7 +53,21 @@
         return absl::OkStatus();
     }
 
+    void reload(kernel& node) override
+    {
+        dispatcher_->set_retry_limits(limits_from(node.config().retry_limits));
+    }
+
 private:
+    static std::optional<fleet_retry_limits> limits_from(const retry_settings& retries)
+    {
+        if (retries.window_s <= 0.0) {
+            return std::nullopt;
+        }
+        return fleet_retry_limits{retries.ratio, retries.slack,
+                                  milliseconds{retries.window_s * 1000.0}};
+    }
+
     std::unique_ptr<executor_adapter> local_;
     std::unique_ptr<dispatcher> dispatcher_;
 };
--- a/lib/node/dispatcher.cpp
+++ b/lib/node/dispatcher.cpp
@@ -491,4 +491,9 @@
     return core_->selector().choose_distinct(service, priority, count);
 }
 
+void dispatcher::set_retry_limits(const std::optional<fleet_retry_limits>& limits)
+{
+    core_->selector().set_retry_limits(limits);
+}
+
 } // namespace chestnutstand
--- a/lib/node/kernel.cpp
+++ b/lib/node/kernel.cpp
@@ -30,6 +30,7 @@
 
 } // namespace
 
+void component::reload(kernel& /*node*/) {}
 void component::begin_drain(kernel& /*node*/) {}
 void component::end_lame_duck(kernel& /*node*/) {}
 void component::stop(kernel& /*node*/) {}
@@ -103,6 +104,19 @@
     return true;
 }
 
+void kernel::reload(const settings& changed)
+{
+    settings_.lowest_log_level = changed.lowest_log_level;
+    settings_.retry_limits = changed.retry_limits;
+    settings_.lame_duck_ms = changed.lame_duck_ms;
+    settings_.drain_limit_ms = changed.drain_limit_ms;
+    settings_.grace_s = changed.grace_s;
+    set_log_level(settings_.lowest_log_level);
+    for (component* each : started_) {
+        each->reload(*this);
+    }
+}
+
 bool kernel::drain_and_stop()
 {
     const time_point limit = ms_clock::now() + milliseconds{settings_.drain_limit_ms};
--- a/lib/routing/upstream_selector.cpp
+++ b/lib/routing/upstream_selector.cpp
@@ -88,8 +88,8 @@
                                      const snapshot<document>& configuration,
                                      selector_options options)
     : routes_{routes}, configuration_{configuration}, options_{std::move(options)},
-      random_{options_.seed}, distances_{options_.data_centre}, probes_{probes_per_s, probe_burst,
-                                                                        options_.now()},
+      retry_limits_{options_.retry_limits}, random_{options_.seed},
+      distances_{options_.data_centre}, probes_{probes_per_s, probe_burst, options_.now()},
       idle_probes_{idle_probes_per_s, idle_probe_burst, options_.now()}
 {
 }
@@ -115,8 +115,8 @@
     if (state.routes != routes) {
         const std::vector<member>* members = routes->find(service);
         state.peers.update(members != nullptr ? *members : std::vector<member>{}, options_.now());
-        if (options_.retry_limits) {
-            state.retries->set_share(share_of(*options_.retry_limits, routes->node_count()));
+        if (retry_limits_) {
+            state.retries->set_share(share_of(*retry_limits_, routes->node_count()));
         }
         state.routes = std::move(routes);
     }
@@ -285,6 +285,18 @@
     }
 }
 
+void upstream_selector::set_retry_limits(const std::optional<fleet_retry_limits>& limits)
+{
+    const std::lock_guard lock{mutex_};
+    retry_limits_ = limits;
+    for (auto& [name, state] : services_) {
+        // Shares are worked out again with the routes.
+        state.routes.reset();
+        state.retries.reset();
+        state.configuration.reset();
+    }
+}
+
 bool upstream_selector::take_retry(const std::string& service)
 {
     const std::lock_guard lock{mutex_};
--- a/lib/support/log.cpp
+++ b/lib/support/log.cpp
@@ -93,7 +93,12 @@
     auto logger = log4cplus::Logger::getRoot();
     logger.removeAllAppenders();
     logger.addAppender(log4cplus::SharedAppenderPtr{new line_appender});
-    logger.setLogLevel(to_log4cplus(lowest));
+    set_log_level(lowest);
+}
+
+void set_log_level(log_level lowest)
+{
+    log4cplus::Logger::getRoot().setLogLevel(to_log4cplus(lowest));
 }
 
 void log_event(log_level level, std::string_view message, std::initializer_list<log_field> fields)
--- a/tests/integration/path_test.cpp
+++ b/tests/integration/path_test.cpp
@@ -5,6 +5,8 @@
 #include <gtest/gtest.h>
 
 #include <csignal>
+#include <filesystem>
+#include <fstream>
 #include <set>
 
 namespace chestnutstand::testing {
@@ -101,5 +103,35 @@
     EXPECT_EQ(only.node->wait(), 0);
 }
 
+// Guards against settings that change only with a restart, with a signal or without one.
+TEST(path, follows_its_settings_file)
+{
+    fleet all;
+    auto& only = all.add("east", "alpha");
+    const auto file = all.directory() / "node-0.json";
+    const auto change = [&](const char* key, const nlohmann::json& value) {
+        auto changed = nlohmann::json::parse(std::ifstream{file});
+        changed[key] = value;
+        const auto next = all.directory() / "next.json";
+        std::ofstream{next} << changed.dump();
+        std::filesystem::rename(next, file);
+    };
+    const auto reloaded = [&](const std::string& key) {
+        return only.node->wait_for_line([&](const auto& fields) {
+            return fields.value("message", "") == "settings reloaded" &&
+                   fields.value("changed", "") == key;
+        });
+    };
+    change("lame_duck_ms", 100);
+    only.node->signal(SIGHUP);
+    EXPECT_TRUE(reloaded("lame_duck_ms"));
+    change("origin_service", "beta");
+    const auto without_signal = reloaded("origin_service");
+    ASSERT_TRUE(without_signal);
+    EXPECT_EQ(without_signal->value("after_restart", ""), "origin_service");
+    only.node->signal(SIGTERM);
+    EXPECT_EQ(only.node->wait(), 0);
+}
+
 } // namespace
 } // namespace chestnutstand::testing
--- a/tools/chestnutstand/node.cpp
+++ b/tools/chestnutstand/node.cpp
@@ -1,18 +1,42 @@
 #include "subcommand.h"
 
 #include "chestnutstand/config/settings_file.h"
+#include "chestnutstand/config/settings_watch.h"
 #include "chestnutstand/node/kernel.h"
 #include "chestnutstand/support/log.h"
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 
+#include <algorithm>
+#include <array>
 #include <csignal>
 #include <cstdlib>
+#include <ctime>
+#include <iterator>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace chestnutstand {
 namespace {
 
+/// How late a settings file that changes without a signal is noticed.
+constexpr timespec settings_check_interval{2, 0};
+
+/// Changed keys that a running process does not follow.
+std::vector<std::string> fixed_keys(const settings_watch::change& change)
+{
+    constexpr std::array<std::string_view, 5> followed{"log_level", "retry_limits", "lame_duck_ms",
+                                                       "drain_limit_ms", "grace_s"};
+    std::vector<std::string> fixed;
+    std::copy_if(change.keys.begin(), change.keys.end(), std::back_inserter(fixed),
+                 [&](const std::string& key) {
+                     return std::find(followed.begin(), followed.end(), key) == followed.end();
+                 });
+    return fixed;
+}
+
 /// Blocks the stop signals in this thread and all threads that it starts later, so that only
 /// wait_for_stop receives them.
 sigset_t block_stop_signals()
@@ -28,15 +52,30 @@
     return signals;
 }
 
-void wait_for_stop(const sigset_t& signals)
+/// Follows the settings file until a stop signal arrives.
+void wait_for_stop(const sigset_t& signals, settings_watch& file, kernel& node)
 {
     int received = 0;
-    while (sigwait(&signals, &received) == 0 && received == SIGHUP) {
-        log_event(log_level::info, "settings are read at the next start");
-    }
+    do {
+        received = sigtimedwait(&signals, nullptr, &settings_check_interval);
+        const bool told = received == SIGHUP;
+        if (received != -1 && !told) {
+            return;
+        }
+        const auto change = file.look();
+        if (change) {
+            node.reload(change->now);
+        }
+        if (change || told) {
+            log_event(log_level::info, "settings reloaded",
+                      {{"signal", told},
+                       {"changed", change ? absl::StrJoin(change->keys, " ") : ""},
+                       {"after_restart", change ? absl::StrJoin(fixed_keys(*change), " ") : ""}});
+        }
+    } while (true);
 }
 
-int run_node(settings own_settings)
+int run_node(settings own_settings, settings_watch file)
 {
     const sigset_t signals = block_stop_signals();
     init_logging(own_settings.lowest_log_level);
@@ -55,7 +94,7 @@
                {"admin_port", std::uint64_t{ports.admin}},
                {"node_port", std::uint64_t{ports.node}},
                {"gossip_port", std::uint64_t{ports.gossip}}});
-    wait_for_stop(signals);
+    wait_for_stop(signals, file, node);
     log_event(log_level::info, "node drains");
     const bool idle = node.drain_and_stop();
     log_event(idle ? log_level::info : log_level::warning, "node stopped", {{"idle", idle}});
@@ -76,14 +115,17 @@
         if (!arguments.empty()) {
             return fail(exit_usage, "node takes no arguments besides its options");
         }
-        auto loaded = load_settings(settings_file_);
+        const auto text = read_file(settings_file_);
+        if (!text.ok()) {
+            return fail(exit_failed, std::string{text.status().message()});
+        }
+        auto loaded = parse_settings(*text, settings_file_);
         if (!loaded.ok()) {
-            return fail(absl::IsNotFound(loaded.status()) ? exit_failed : exit_invalid_input,
-                        std::string{loaded.status().message()});
+            return fail(exit_invalid_input, std::string{loaded.status().message()});
         }
         // The static objects of the libraries wait for threads of their own when they are
         // destroyed, which can take longer than the grace time.
-        std::quick_exit(run_node(*std::move(loaded)));
+        std::quick_exit(run_node(*std::move(loaded), {settings_file_, *text}));
     }
 
 private:
