Log which members get calls and which do not answer

One line when a member enters or leaves the routing table, with its state, draining and incarnation, and one when a probe fails first or is answered again.

--- a/include/chestnutstand/membership/member.h
+++ b/include/chestnutstand/membership/member.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "chestnutstand/support/name_table.h"
 #include "chestnutstand/transport/peer_client.h"
 
 #include <cstdint>
@@ -13,6 +14,8 @@
 
 enum class liveness : std::uint8_t { alive, suspect, dead, left };
 
+inline constexpr name_table<liveness, 4> liveness_names{{"alive", "suspect", "dead", "left"}};
+
 /// One node as the membership protocol knows it.
 struct member {
     node_reference node;
--- a/lib/membership/membership.cpp
+++ b/lib/membership/membership.cpp
@@ -3,6 +3,8 @@
 #include "chestnutstand/membership/join_log.h"
 #include "chestnutstand/support/log.h"
 
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
 #include <optional>
 #include <utility>
@@ -79,6 +81,7 @@
 
     void tick();
     void publish(time_point now);
+    void log_routing_changes(const routing_table& before, const routing_table& now) const;
     void start_sync(const node_reference& peer);
     void finish_sync(const node_reference& peer,
                      const absl::StatusOr<std::vector<std::string>>& reply);
@@ -197,9 +200,47 @@
     for (const std::uint64_t instance : protocol_->table().live()) {
         add(*protocol_->table().find(instance));
     }
+    log_routing_changes(*table_.load(), *table);
     table_.store(std::move(table));
 }
 
+/// Members that get calls from now on, and those that no longer do, with what is believed of them.
+void membership::impl::log_routing_changes(const routing_table& before,
+                                           const routing_table& now) const
+{
+    const auto contains = [](const routing_table& table, const member& wanted) {
+        const auto* members = table.find(wanted.service);
+        return members != nullptr &&
+               std::any_of(members->begin(), members->end(), [&](const member& each) {
+                   return each.node.instance == wanted.node.instance;
+               });
+    };
+    const auto log = [](std::string_view message, const member& of, const member& believed) {
+        log_event(log_level::info, message,
+                  {{"member", absl::StrCat(absl::Hex(of.node.instance))},
+                   {"address", of.node.address},
+                   {"service", of.service},
+                   {"state", std::string{liveness_names.name(believed.state)}},
+                   {"draining", believed.draining},
+                   {"incarnation", believed.incarnation}});
+    };
+    for (const auto& [service, members] : now.by_service) {
+        for (const member& each : members) {
+            if (!contains(before, each)) {
+                log("member gets calls", each, each);
+            }
+        }
+    }
+    for (const auto& [service, members] : before.by_service) {
+        for (const member& each : members) {
+            if (!contains(now, each)) {
+                const member* known = protocol_->table().find(each.node.instance);
+                log("member gets no calls", each, known != nullptr ? *known : protocol_->self());
+            }
+        }
+    }
+}
+
 void membership::impl::start_sync(const node_reference& peer)
 {
     if (sync_running_) {
--- a/lib/routing/upstream_selector.cpp
+++ b/lib/routing/upstream_selector.cpp
@@ -2,6 +2,8 @@
 
 #include "chestnutstand/support/log.h"
 
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -389,6 +391,14 @@
     const time_point now = options_.now();
     const std::lock_guard lock{mutex_};
     target.probing.store(false);
+    if (report.has_value() == target.probe_again_at.has_value()) {
+        log_event(log_level::warning, report ? "member answers again" : "member does not answer",
+                  {{"member", absl::StrCat(absl::Hex(target.node.instance))},
+                   {"address", target.node.address},
+                   {"service", service},
+                   {"silent_ms", target.load.silence(now).count()},
+                   {"probe_ms", (now - sent).count()}});
+    }
     if (!report) {
         target.probe_again_at = now + failed_probe_pause;
         target.load.avoid_until(now + avoidance);
