--- /dev/null
+++ b/include/chestnutstand/membership/routing_changes.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "chestnutstand/membership/member.h"
+
+#include <vector>
+
+namespace chestnutstand {
+
+/// Difference of two routing tables, by service and instance.
+struct routing_changes {
+    std::vector<member> added;
+    std::vector<member> removed;
+};
+
+routing_changes compare_routes(const routing_table& before, const routing_table& now);
+
+} // namespace chestnutstand
