--- a/include/chestnutstand/routing/upstream_selector.h
+++ b/include/chestnutstand/routing/upstream_selector.h
@@ -77,8 +77,8 @@
     /// Time after which a call of the class is slower than 95% of the recent ones.
     std::optional<milliseconds> hedge_delay(const std::string& service, std::string_view priority);
 
-    /// A member that may be probed now: one that does not answer, or else now and then one whose
-    /// report is stale; null when there is none. The caller must end the probe with record_probe.
+    /// A member that may be probed now: one that does not answer, or else one whose report is
+    /// stale; null when there is none. The caller must end the probe with record_probe.
     ///
     /// Load pattern: a node that is frozen, cut off or starved of processor time. Calls would pile
     /// up there until their deadlines, as many from each node as its upstream has slots.
@@ -121,7 +121,6 @@
     random_generator random_;
     distance_table distances_;
     token_bucket probes_;
-    token_bucket idle_probes_;
     std::unordered_map<std::string, service_state> services_;
 };
 
--- a/lib/routing/upstream_selector.cpp
+++ b/lib/routing/upstream_selector.cpp
@@ -21,11 +21,6 @@
 /// Probes to nodes, whatever the number of calls, services and members.
 constexpr double probes_per_s = 10.0;
 constexpr double probe_burst = 2.0;
-/// Probes to members that are only not known well. Calls bring reports, so that these matter for
-/// members without calls.
-constexpr double idle_probes_per_s = 1.0;
-constexpr double idle_probe_burst = 1.0;
-
 /// Silence from which a member with an unanswered call is probed: longer than usual calls take, as
 /// most are answered in between.
 constexpr milliseconds shortest_silence{150};
@@ -91,8 +86,7 @@
                                      selector_options options)
     : routes_{routes}, configuration_{configuration}, options_{std::move(options)},
       retry_limits_{options_.retry_limits}, random_{options_.seed},
-      distances_{options_.data_centre}, probes_{probes_per_s, probe_burst, options_.now()},
-      idle_probes_{idle_probes_per_s, idle_probe_burst, options_.now()}
+      distances_{options_.data_centre}, probes_{probes_per_s, probe_burst, options_.now()}
 {
 }
 
@@ -373,12 +367,10 @@
     }
     const time_point now = options_.now();
     std::shared_ptr<peer> target = unresponsive_member(*state, now);
-    token_bucket* permits = &probes_;
     if (!target) {
         target = stale_member(*state, now);
-        permits = state->policy->reports() == report_source::probes ? &probes_ : &idle_probes_;
     }
-    if (!target || !permits->try_take(now)) {
+    if (!target || !probes_.try_take(now)) {
         return nullptr;
     }
     target->probing.store(true);
--- a/tests/integration/command_line_test.cpp
+++ b/tests/integration/command_line_test.cpp
@@ -64,6 +64,33 @@
     }
 }
 
+// Guards against a request whose lines are missed, mixed with those of another, or out of order.
+TEST_F(command_line, trace_prints_the_lines_of_one_request_in_order)
+{
+    const auto first =
+        write("a.log",
+              R"(node-a {"time_ms":120,"message":"call answered","request_id":"r1","reason":"none"}
+node-a {"time_ms":105,"message":"call answered","request_id":"r2","reason":"none"}
+not a log line about r1
+)");
+    const auto second =
+        write("b.log", R"({"time_ms":110,"message":"call executed","request_id":"r1","run_ms":8.5}
+{"time_ms":100,"message":"call refused","request_id":"r10"}
+)");
+    const auto traced = run("trace r1 " + first + " " + second);
+    EXPECT_EQ(traced.status, 0);
+    const auto executed = traced.output.find("+0 ms  " + second + "  call executed");
+    const auto answered = traced.output.find("+10 ms  node-a   call answered");
+    ASSERT_NE(executed, std::string::npos) << traced.output;
+    ASSERT_NE(answered, std::string::npos) << traced.output;
+    EXPECT_LT(executed, answered);
+    EXPECT_NE(traced.output.find("run_ms: 8.5"), std::string::npos);
+    EXPECT_EQ(traced.output.find("call refused"), std::string::npos);
+    EXPECT_EQ(run("trace r3 " + first).status, 1);
+    EXPECT_EQ(run("trace r1 " + (directory_ / "none.log").string()).status, 1);
+    EXPECT_EQ(run("trace r1").status, 2);
+}
+
 // Guards against usage errors that look like failures of the system.
 TEST_F(command_line, usage_errors_exit_with_2)
 {
