--- a/include/chestnutstand/node/kernel.h
+++ b/include/chestnutstand/node/kernel.h
@@ -11,6 +11,7 @@
 
 #include <absl/status/status.h>
 
+#include <array>
 #include <atomic>
 #include <cstdint>
 #include <map>
@@ -62,6 +63,10 @@
     std::uint16_t gossip = 0;
 };
 
+/// Keys of the settings file that a running node follows.
+inline constexpr std::array<std::string_view, 5> reloadable_settings{
+    "log_level", "retry_limits", "lame_duck_ms", "drain_limit_ms", "grace_s"};
+
 /// What all components of a node share, and the order in which they start and stop.
 class kernel {
 public:
@@ -73,8 +78,7 @@
     /// Starts all registered components.
     absl::Status start();
 
-    /// Follows changed settings where that is possible in a running process: log level, retry
-    /// limits and the times of a drain. Not during a drain.
+    /// Takes over the reloadable settings. Not during a drain.
     void reload(const settings& changed);
 
     /// Drains, waits until the node is idle or the drain limit has passed, and stops. Returns
--- a/tools/chestnutstand/node.cpp
+++ b/tools/chestnutstand/node.cpp
@@ -9,13 +9,11 @@
 #include <absl/strings/str_join.h>
 
 #include <algorithm>
-#include <array>
 #include <csignal>
 #include <cstdlib>
 #include <ctime>
 #include <iterator>
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace chestnutstand {
@@ -27,8 +25,7 @@
 /// Changed keys that a running process does not follow.
 std::vector<std::string> fixed_keys(const settings_watch::change& change)
 {
-    constexpr std::array<std::string_view, 5> followed{"log_level", "retry_limits", "lame_duck_ms",
-                                                       "drain_limit_ms", "grace_s"};
+    const auto& followed = reloadable_settings;
     std::vector<std::string> fixed;
     std::copy_if(change.keys.begin(), change.keys.end(), std::back_inserter(fixed),
                  [&](const std::string& key) {
@@ -66,11 +63,14 @@
         if (change) {
             node.reload(change->now);
         }
-        if (change || told) {
+        if (change) {
             log_event(log_level::info, "settings reloaded",
                       {{"signal", told},
-                       {"changed", change ? absl::StrJoin(change->keys, " ") : ""},
-                       {"after_restart", change ? absl::StrJoin(fixed_keys(*change), " ") : ""}});
+                       {"changed", absl::StrJoin(change->keys, " ")},
+                       {"after_restart", absl::StrJoin(fixed_keys(*change), " ")}});
+        }
+        else if (told) {
+            log_event(log_level::info, "settings not changed");
         }
     } while (true);
 }
