--- a/include/chestnutstand/membership/join_log.h
+++ b/include/chestnutstand/membership/join_log.h
@@ -22,7 +22,6 @@
     /// The first call reads the tail of the stream.
     void refresh(done finished) override;
     void append(const member& self, done finished) override;
-    const std::unordered_map<std::uint64_t, record>& records() const override { return records_; }
     void purge(time_point now, milliseconds retention) override;
     std::optional<std::size_t> enough_records() const override;
 
@@ -32,7 +31,6 @@
 
     control_loop& loop_;
     log_client& log_;
-    std::unordered_map<std::uint64_t, record> records_;
     std::uint64_t next_offset_ = 0;
     bool tail_known_ = false;
 };
--- a/include/chestnutstand/membership/keyed_directory.h
+++ b/include/chestnutstand/membership/keyed_directory.h
@@ -17,7 +17,6 @@
 
     void refresh(done finished) override;
     void append(const member& self, done finished) override;
-    const std::unordered_map<std::uint64_t, record>& records() const override { return records_; }
     void purge(time_point now, milliseconds retention) override;
     std::optional<std::size_t> enough_records() const override;
 
@@ -26,7 +25,6 @@
 
     control_loop& loop_;
     keyed_store& store_;
-    std::unordered_map<std::uint64_t, record> records_;
 };
 
 } // namespace chestnutstand
--- a/include/chestnutstand/membership/member_directory.h
+++ b/include/chestnutstand/membership/member_directory.h
@@ -33,7 +33,7 @@
     virtual void append(const member& self, done finished) = 0;
 
     /// The latest record of each instance.
-    virtual const std::unordered_map<std::uint64_t, record>& records() const = 0;
+    const std::unordered_map<std::uint64_t, record>& records() const { return records_; }
 
     /// Forgets old records.
     virtual void purge(time_point now, milliseconds retention) = 0;
@@ -41,6 +41,9 @@
     /// Fresh records per data centre with which a node need not add its own; nothing when every
     /// node adds one.
     virtual std::optional<std::size_t> enough_records() const = 0;
+
+protected:
+    std::unordered_map<std::uint64_t, record> records_;
 };
 
 } // namespace chestnutstand
--- a/tests/stub_log/stub_log.cpp
+++ b/tests/stub_log/stub_log.cpp
@@ -1,5 +1,7 @@
 // Stand-in for the platform's append-only log service. Keeps records in memory.
 
+#include "../support/stub_main.h"
+
 #include "chestnutstand/support/clock.h"
 #include "chestnutstand/transport/http_server.h"
 
@@ -7,7 +9,6 @@
 #include <nlohmann/json.hpp>
 
 #include <chrono>
-#include <cstdio>
 #include <cstdlib>
 #include <deque>
 #include <map>
@@ -154,18 +155,8 @@
     stub_log log;
     http_server_options options;
     options.threads = 2;
-    http_server server{options,
-                       [&log](const http_request& request, const std::shared_ptr<responder>& to) {
-                           log.handle(request, to);
-                       }};
-    if (!server.start().ok()) {
-        return EXIT_FAILURE;
-    }
-    std::printf("{\"port\":%d}\n", server.port());
-    std::fflush(stdout);
-    // Ends with the test that started it, which holds the other end of standard input.
-    while (std::getchar() != EOF) {
-    }
-    server.stop();
-    return EXIT_SUCCESS;
+    return chestnutstand::testing::run_stub(
+        options, [&](const http_request& request, const std::shared_ptr<responder>& to) {
+            log.handle(request, to);
+        });
 }
--- a/tests/stub_store/stub_store.cpp
+++ b/tests/stub_store/stub_store.cpp
@@ -1,6 +1,8 @@
 // Stand-in for the platform's metadata store, by its published protocol: keyed topics with one
 // partition. Keeps everything in memory. PUT /control/document writes the operator's record.
 
+#include "../support/stub_main.h"
+
 #include "chestnutstand/support/control_loop.h"
 #include "chestnutstand/transport/http_server.h"
 
@@ -9,7 +11,6 @@
 #include <absl/strings/escaping.h>
 #include <nlohmann/json.hpp>
 
-#include <cstdio>
 #include <cstdlib>
 #include <map>
 #include <mutex>
@@ -146,18 +147,9 @@
 int main()
 {
     stub_store store;
-    http_server server{http_server_options{},
-                       [&](const http_request& request, const std::shared_ptr<responder>& to) {
-                           store.handle(request, to);
-                       }};
-    if (!server.start().ok()) {
-        return EXIT_FAILURE;
-    }
-    std::printf("{\"port\":%d}\n", server.port());
-    std::fflush(stdout);
-    // Ends with the test that started it, which holds the other end of standard input.
-    while (std::getchar() != EOF) {
-    }
-    server.stop();
-    return EXIT_SUCCESS;
+    return chestnutstand::testing::run_stub(
+        http_server_options{},
+        [&](const http_request& request, const std::shared_ptr<responder>& to) {
+            store.handle(request, to);
+        });
 }
--- a/tests/stub_upstream/stub_upstream.cpp
+++ b/tests/stub_upstream/stub_upstream.cpp
@@ -1,5 +1,7 @@
 // Stand-in for an upstream server: limited slots, settable service time, execution history, faults.
 
+#include "../support/stub_main.h"
+
 #include "chestnutstand/support/clock.h"
 #include "chestnutstand/support/control_loop.h"
 #include "chestnutstand/transport/headers.h"
@@ -275,11 +277,7 @@
         announcer.post(again);
         announcer.repeat(register_interval, again);
     }
-    std::printf("{\"port\":%d}\n", server.port());
-    std::fflush(stdout);
-    // Ends with the test that started it, which holds the other end of standard input.
-    while (std::getchar() != EOF) {
-    }
+    chestnutstand::testing::wait_for_end_of_test(server);
     announcer.stop();
     server.stop();
     return EXIT_SUCCESS;
--- a/unittests/keys/key_simulation.cpp
+++ b/unittests/keys/key_simulation.cpp
@@ -1,5 +1,7 @@
 #include "key_simulation.h"
 
+#include "key_simulation_links.h"
+
 #include <algorithm>
 
 namespace chestnutstand::simulation {
@@ -26,71 +28,6 @@
 
 } // namespace
 
-struct cluster::invocation {
-    process_ptr ingress;
-    history::call_record record;
-    std::size_t answers = 0;
-};
-
-class cluster::executor : public key_executor {
-public:
-    executor(cluster& all, std::weak_ptr<process> self) : all_{all}, self_{std::move(self)} {}
-
-    void execute(const call& what, call_done done) override
-    {
-        all_.receive_call(self_.lock(), what, done);
-    }
-    void settle(const std::string& key, peer_client::settle_done done) override
-    {
-        done(all_.receive_settle(*self_.lock(), key));
-    }
-
-private:
-    cluster& all_;
-    std::weak_ptr<process> self_;
-};
-
-class cluster::peers : public peer_client {
-public:
-    peers(cluster& all, std::weak_ptr<process> self) : all_{all}, self_{std::move(self)} {}
-
-    void execute(const node_reference& target, const call& what, call_done done) override;
-    void forward(const node_reference& owner, const call& what, bool query_only,
-                 call_done done) override;
-    void settle(const node_reference& executor, const std::string& key, milliseconds timeout,
-                settle_done done) override;
-    void probe(const node_reference&, milliseconds, probe_done) override {}
-    void fetch_changes(const node_reference&, std::uint64_t, milliseconds, changes_done) override {}
-    void sync_members(const node_reference&, std::vector<std::string>, milliseconds,
-                      members_done) override
-    {
-    }
-
-private:
-    /// Posts replies as messages of their own, which may be delayed or overtaken.
-    template <typename Result>
-    static std::function<void(Result)> later(cluster& all, std::function<void(Result)> done)
-    {
-        return [&all, done = std::move(done)](Result result) {
-            all.pending_.push_back([done, result = std::move(result)] { done(result); });
-        };
-    }
-    std::function<bool()> alive();
-
-    cluster& all_;
-    std::weak_ptr<process> self_;
-};
-
-struct cluster::process {
-    node_reference node;
-    bool alive = true;
-    std::unique_ptr<cluster::peers> peers;
-    std::unique_ptr<cluster::executor> local;
-    std::unique_ptr<executor_keys> keys;
-    std::shared_ptr<key_owner> owner;
-    std::shared_ptr<key_settlement> settlement;
-};
-
 std::function<bool()> cluster::peers::alive()
 {
     return [self = self_] {
--- /dev/null
+++ b/unittests/node/routed_dispatch_test.cpp
@@ -0,0 +1,152 @@
+#include "dispatcher_fixture.h"
+
+#include "chestnutstand/keys/attempt_ledger.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace chestnutstand {
+namespace {
+
+using testing::_;
+
+class routed_dispatch : public dispatcher_test {
+protected:
+    call_result run_routed(repeatability repeat)
+    {
+        call what;
+        what.service = "ledger";
+        what.priority = "lookup";
+        what.deadline = now_ + milliseconds{1000};
+        what.retry_budget = 1;
+        what.repeat = repeat;
+        what.request_id = "attempt-1";
+        std::optional<call_result> result;
+        dispatcher_->dispatch(what, [&result](call_result given) { result = std::move(given); });
+        EXPECT_TRUE(result.has_value());
+        return result.value_or(unknown_outcome(reason::internal));
+    }
+
+    /// Refuses movable calls as a slow upstream does; the others get the answer.
+    void be_slow_everywhere()
+    {
+        ON_CALL(peers_, execute(_, _, _))
+            .WillByDefault(
+                [this](const node_reference& target, const call& what, const call_done& done) {
+                    attempts_.push_back({target.instance, what.retry_budget, what.request_id});
+                    call_result refused = not_run(reason::upstream_slow);
+                    refused.load.emplace();
+                    refused.load->instance = target.instance;
+                    refused.load->upstream_registered = true;
+                    done(what.movable ? refused : answer(200));
+                });
+    }
+};
+
+// Guards against a call that is refused everywhere because all upstreams are slow for a moment.
+TEST_F(routed_dispatch, waits_for_a_slow_upstream_when_all_are_slow)
+{
+    be_slow_everywhere();
+    EXPECT_EQ(run_routed(repeatability::at_most_once).outcome, outcome::completed);
+    EXPECT_EQ(attempts_.size(), 4U);
+}
+
+// Guards against calls that are refused for want of retry budget although no upstream had them.
+TEST_F(routed_dispatch, moving_a_refused_call_needs_no_retry_budget)
+{
+    for (int i = 0; i < 100; ++i) {
+        const std::size_t before = attempts_.size();
+        answer_with([&, before](int attempt) {
+            return attempt == static_cast<int>(before) ? not_run(reason::queue_full) : answer(200);
+        });
+        EXPECT_EQ(run_routed(repeatability::at_most_once).outcome, outcome::completed);
+    }
+}
+
+// Guards against a request id that changes on its way, so that the upstream cannot tell a repeat.
+TEST_F(routed_dispatch, keeps_the_request_id_of_the_caller)
+{
+    answer_with(
+        [](int attempt) { return attempt == 0 ? not_run(reason::upstream_refused) : answer(200); });
+    run_routed(repeatability::repeatable);
+    ASSERT_EQ(attempts_.size(), 2U);
+    EXPECT_EQ(attempts_[0].request_id, "attempt-1");
+    EXPECT_EQ(attempts_[1].request_id, "attempt-1");
+}
+
+// Guards against a caller that waits longer than its time limit for an upstream that is silent.
+TEST_F(routed_dispatch, answers_at_the_time_limit)
+{
+    ON_CALL(peers_, execute(_, _, _)).WillByDefault([](const auto&, const auto&, const auto&) {});
+    call what;
+    what.service = "ledger";
+    what.priority = "lookup";
+    what.deadline = now_ + milliseconds{1000};
+    what.repeat = repeatability::at_most_once;
+    std::optional<call_result> result;
+    call_done kept;
+    ON_CALL(peers_, execute(_, _, _))
+        .WillByDefault(
+            [&kept](const node_reference&, const call&, const call_done& done) { kept = done; });
+    dispatcher_->dispatch(what, [&result](call_result given) { result = std::move(given); });
+    ASSERT_FALSE(timers_.empty());
+    timers_.front()();
+    ASSERT_TRUE(result);
+    EXPECT_EQ(result->outcome, outcome::unknown);
+    EXPECT_EQ(result->why, reason::time_limit);
+    kept(answer(200));
+}
+
+class settled_dispatch : public routed_dispatch {
+protected:
+    /// Loses the answer of the first attempt; the executor then says the given about it.
+    call_result run_with_lost_answer(const absl::StatusOr<settle_result>& known)
+    {
+        ON_CALL(peers_, settle(_, _, _, _))
+            .WillByDefault([known](const node_reference&, const std::string& key, milliseconds,
+                                   const peer_client::settle_done& done) {
+                EXPECT_EQ(attempt_of_key(key), "attempt-1");
+                done(known);
+            });
+        answer_with([](int attempt) {
+            return attempt == 0 ? unknown_outcome(reason::peer_connection_lost) : answer(200);
+        });
+        return run_routed(repeatability::at_most_once);
+    }
+};
+
+// Guards against a call that is given up although it has provably not run.
+TEST_F(settled_dispatch, places_a_fenced_call_elsewhere)
+{
+    const auto result =
+        run_with_lost_answer(settle_result{settle_state::fenced, {}, reason::key_fenced, {}});
+    EXPECT_EQ(result.outcome, outcome::completed);
+    EXPECT_EQ(attempts_.size(), 2U);
+}
+
+// Guards against an answer that is lost although the executor still has it.
+TEST_F(settled_dispatch, delivers_the_answer_that_the_executor_kept)
+{
+    const auto result = run_with_lost_answer(
+        settle_result{settle_state::completed, {201, {}, "kept"}, reason::none, {}});
+    EXPECT_EQ(result.outcome, outcome::completed);
+    EXPECT_EQ(result.response.body, "kept");
+    EXPECT_EQ(attempts_.size(), 1U);
+}
+
+// Guards against a second run of a call that may have run, and against a refusal that denies it.
+TEST_F(settled_dispatch, call_that_cannot_be_settled_stays_unknown)
+{
+    for (const auto state :
+         {settle_state::running, settle_state::unknown, settle_state::wrong_instance}) {
+        attempts_.clear();
+        const auto result = run_with_lost_answer(settle_result{state, {}, reason::none, {}});
+        EXPECT_EQ(result.outcome, outcome::unknown);
+        EXPECT_EQ(attempts_.size(), 1U);
+    }
+    attempts_.clear();
+    EXPECT_EQ(run_with_lost_answer(absl::UnavailableError("gone")).outcome, outcome::unknown);
+}
+
+} // namespace
+} // namespace chestnutstand
