Keep clusters apart when a node gets the address of a dead member of another one

Cause: gossip had no identity of the cluster. Members ping a dead member's address every 10 s, so a node of another cluster that gets the address answers, and the two tables merge, dead members included. Found while reading for the cause of node_failure.paused_node_comes_back, which it is not.

Datagrams and push-pull exchanges carry an id derived from cluster_secret; those of other clusters are dropped with a log line. Each fleet of the tests has a secret of its own.

--- a/include/chestnutstand/config/settings.h
+++ b/include/chestnutstand/config/settings.h
@@ -71,7 +71,7 @@
     /// Service of the upstream on this VM, as told to the upstreams that its requests reach.
     std::string origin_service;
     std::vector<seed_address> seeds;
-    /// Authenticates idempotency keys; the same on all nodes.
+    /// Authenticates idempotency keys and tells clusters apart; the same on all nodes.
     std::string cluster_secret;
     log_level lowest_log_level = log_level::info;
     /// The same on all nodes.
--- a/include/chestnutstand/membership/gossip_codec.h
+++ b/include/chestnutstand/membership/gossip_codec.h
@@ -22,6 +22,7 @@
     std::uint64_t config_next_offset = 0;
     std::uint64_t target_instance = 0;
     std::uint64_t table_digest = 0;
+    std::uint64_t cluster = 0;
 };
 
 /// Content of a push-pull exchange.
@@ -29,6 +30,7 @@
     std::vector<member> members;
     /// Digest per bucket; empty when the sender only hands over members.
     std::vector<std::uint64_t> digests;
+    std::uint64_t cluster = 0;
 };
 
 std::string encode(const gossip_message& message);
--- a/include/chestnutstand/membership/membership.h
+++ b/include/chestnutstand/membership/membership.h
@@ -23,6 +23,8 @@
     /// Instance, address, ports and data centre of this node.
     member self;
     std::vector<seed_address> seeds;
+    /// See cluster_id().
+    std::uint64_t cluster = 0;
     std::uint64_t random_seed = 0;
 };
 
--- a/include/chestnutstand/membership/swim.h
+++ b/include/chestnutstand/membership/swim.h
@@ -15,6 +15,9 @@
 namespace chestnutstand {
 
 struct swim_options {
+    /// Identity of the cluster. Messages of other clusters are dropped: they come when the address
+    /// of a member that has gone is used again.
+    std::uint64_t cluster = 0;
     milliseconds probe_period{1'000};
     /// Share of the period by which it varies, so that nodes do not probe in step.
     double probe_jitter = 0.1;
@@ -63,6 +66,8 @@
     /// Peers to start a push-pull exchange with.
     std::vector<node_reference> syncs;
     std::vector<config_hint> config_hints;
+    /// Senders in other clusters whose messages were dropped.
+    std::vector<node_reference> foreign_senders;
     bool members_changed = false;
     /// The node was paused for longer than the suspicion time.
     bool resumed = false;
--- a/lib/membership/gossip_codec.cpp
+++ b/lib/membership/gossip_codec.cpp
@@ -67,6 +67,7 @@
     out.set_config_next_offset(message.config_next_offset);
     out.set_target_instance(message.target_instance);
     out.set_table_digest(message.table_digest);
+    out.set_cluster(message.cluster);
     return out.SerializeAsString();
 }
 
@@ -96,6 +97,7 @@
     message.config_next_offset = in.config_next_offset();
     message.target_instance = in.target_instance();
     message.table_digest = in.table_digest();
+    message.cluster = in.cluster();
     return message;
 }
 
@@ -109,7 +111,12 @@
 std::vector<std::string> encode(const sync_content& content)
 {
     std::vector<std::string> items;
-    items.reserve(content.members.size() + 1);
+    items.reserve(content.members.size() + 2);
+    if (content.cluster != 0) {
+        wire::SyncItem item;
+        item.set_cluster(content.cluster);
+        items.push_back(item.SerializeAsString());
+    }
     if (!content.digests.empty()) {
         wire::SyncItem item;
         auto& buckets = *item.mutable_digest()->mutable_buckets();
@@ -136,6 +143,9 @@
             const auto& buckets = item.digest().buckets();
             content.digests.assign(buckets.begin(), buckets.end());
         }
+        else if (item.has_cluster()) {
+            content.cluster = item.cluster();
+        }
         else if (auto state = from_wire(item.state())) {
             content.members.push_back(*std::move(state));
         }
--- a/lib/membership/membership.cpp
+++ b/lib/membership/membership.cpp
@@ -51,7 +51,9 @@
     options_.self.gossip_port = transport_->port();
     auto begin = guarded([](impl& self) {
         const time_point now = ms_clock::now();
-        self.protocol_.emplace(self.options_.self, swim_options{}, self.options_.random_seed, now);
+        swim_options protocol;
+        protocol.cluster = self.options_.cluster;
+        self.protocol_.emplace(self.options_.self, protocol, self.options_.random_seed, now);
         std::uniform_real_distribution<double> share{0.0, 1.0};
         self.append_from_ = now + append_jitter * share(self.random_);
         self.tick();
@@ -89,6 +91,11 @@
             config_hint_callback_(hint.peer, hint.next_offset);
         }
     }
+    for (const node_reference& sender : output.foreign_senders) {
+        log_event(log_level::warning, "message of another cluster dropped",
+                  {{"sender", absl::StrCat(absl::Hex(sender.instance))},
+                   {"address", sender.address}});
+    }
     if (output.resumed) {
         log_event(log_level::warning, "resumed after a pause longer than the suspicion time");
         if (resume_callback_) {
--- a/lib/membership/swim.cpp
+++ b/lib/membership/swim.cpp
@@ -45,6 +45,10 @@
         self_.state == liveness::left) {
         return;
     }
+    if (message->cluster != options_.cluster) {
+        output_.foreign_senders.push_back(message->sender.node);
+        return;
+    }
     note_time(now);
     last_heard_ = now;
     const bool is_new = table_.find(message->sender.node.instance) == nullptr;
@@ -345,6 +349,7 @@
                 std::uint64_t to_instance)
 {
     message.sender = self_;
+    message.cluster = options_.cluster;
     message.config_next_offset = config_next_offset_;
     message.table_digest = quiet_digest();
     add_updates(message, to_instance);
--- a/lib/membership/swim_sync.cpp
+++ b/lib/membership/swim_sync.cpp
@@ -63,12 +63,15 @@
 {
     const std::size_t wanted = (table_.live().size() + 1) / members_per_bucket;
     const std::size_t count = std::bit_ceil(std::clamp<std::size_t>(wanted, 1, max_buckets));
-    return encode(sync_content{{self_}, bucket_digests(count)});
+    return encode(sync_content{{self_}, bucket_digests(count), options_.cluster});
 }
 
 std::vector<std::string> swim::handle_sync(const std::vector<std::string>& items, time_point now)
 {
     const sync_content theirs = decode_sync(items);
+    if (theirs.cluster != options_.cluster) {
+        return {};
+    }
     const auto source =
         theirs.members.size() > bulk_size ? claim_source::bulk_sync : claim_source::sync;
     for (const member& state : theirs.members) {
@@ -78,7 +81,7 @@
         return {};
     }
     const std::size_t count = theirs.digests.size();
-    sync_content reply{{}, bucket_digests(count)};
+    sync_content reply{{}, bucket_digests(count), options_.cluster};
     for (const member& state : members()) {
         const std::size_t bucket = state.node.instance % count;
         if (theirs.digests[bucket] != reply.digests[bucket]) {
@@ -91,7 +94,7 @@
 std::vector<std::string> swim::finish_sync(const std::vector<std::string>& reply, time_point now)
 {
     const sync_content theirs = decode_sync(reply);
-    if (theirs.digests.empty() || theirs.digests.size() > max_buckets) {
+    if (theirs.cluster != options_.cluster || theirs.digests.empty() || theirs.digests.size() > max_buckets) {
         return {};
     }
     const std::size_t count = theirs.digests.size();
@@ -101,6 +104,7 @@
         received.emplace(state.node.instance, &state);
     }
     sync_content missing;
+    missing.cluster = options_.cluster;
     for (const member& state : members()) {
         const auto found = received.find(state.node.instance);
         const bool lacks =
--- a/lib/node/components/membership_component.cpp
+++ b/lib/node/components/membership_component.cpp
@@ -1,4 +1,5 @@
 #include "chestnutstand/config/configuration.h"
+#include "chestnutstand/membership/cluster_id.h"
 #include "chestnutstand/membership/join_log.h"
 #include "chestnutstand/membership/keyed_directory.h"
 #include "chestnutstand/membership/member_order.h"
@@ -31,6 +32,7 @@
         options.self.gossip_port = node.config().gossip_port;
         options.self.data_centre = node.config().data_centre;
         options.seeds = node.config().seeds;
+        options.cluster = cluster_id(node.config().cluster_secret);
         options.random_seed = node.instance();
         members_ = std::make_unique<membership>(options, node.control(), make_directory(node),
                                                 node.peers());
--- a/tests/integration/keys_test.cpp
+++ b/tests/integration/keys_test.cpp
@@ -24,7 +24,6 @@
 constexpr std::size_t caller_count = 6;
 constexpr std::size_t keys_per_caller = 60;
 constexpr int attempts_per_key = 4;
-constexpr std::string_view cluster_secret = "integration-test-secret";
 
 void pause_for(double ms)
 {
@@ -81,7 +80,7 @@
             reason_names.find(find_header(result.response.headers, header::reason).value_or("none"))
                 .value_or(reason::internal);
         record.response = result.response.body;
-        const auto content = decode(key, cluster_secret);
+        const auto content = decode(key, fleet_.cluster_secret());
         for (const auto& candidate : content->candidates) {
             record.candidates.push_back(absl::StrCat(absl::Hex(candidate.instance)));
         }
--- a/tests/integration/node_failure_test.cpp
+++ b/tests/integration/node_failure_test.cpp
@@ -106,7 +106,8 @@
 {
     start(3);
     node(2).node->signal(SIGSTOP);
-    EXPECT_TRUE(eventually([&] { return count_members(node(0), {"dead"}) == 1; }, gossip_limit));
+    EXPECT_TRUE(eventually([&] { return count_members(node(0), {"dead"}) == 1; }, gossip_limit))
+        << all_.status(node(0));
     node(2).node->signal(SIGCONT);
     for (const std::size_t peer : {0U, 1U, 2U}) {
         EXPECT_TRUE(
@@ -115,6 +116,22 @@
     EXPECT_TRUE(is_reached(node(0), node(2)));
 }
 
+// Guards against nodes of two clusters that take each other for members, as when the port of a
+// killed node is used again.
+TEST_F(node_failure, nodes_of_another_cluster_do_not_join)
+{
+    start(1);
+    fleet other;
+    other.extra_settings()["seeds"] =
+        nlohmann::json::array({{{"address", "127.0.0.1"}, {"gossip_port", node(0).gossip_port}}});
+    other.add("east", "alpha");
+    EXPECT_TRUE(node(0).node->wait_for_line([](const auto& fields) {
+        return fields.value("message", "") == "message of another cluster dropped";
+    }));
+    EXPECT_EQ(count_members(node(0), {"alive"}), 1U);
+    EXPECT_EQ(other.status(*other.members()[0])["members"].size(), 1U);
+}
+
 // Guards against a cluster that loses members or cannot grow while the log is down.
 TEST_F(node_failure, gossip_goes_on_without_the_log_and_a_node_joins_by_seed)
 {
--- a/tests/integration/routed_path_test.cpp
+++ b/tests/integration/routed_path_test.cpp
@@ -15,9 +15,7 @@
 protected:
     routed_path() : store_{STUB_STORE_PROGRAM, {}}
     {
-        const auto line =
-            store_.wait_for_line([](const auto& fields) { return fields.contains("port"); });
-        store_port_ = line ? (*line)["port"].get<std::uint16_t>() : 0;
+        store_port_ = announced_port(store_);
         all_.extra_settings() = {{"log_url", ""},
                                  {"store_url", "http://127.0.0.1:" + std::to_string(store_port_)},
                                  {"caller_interface", "routes"},
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -16,13 +16,6 @@
     return "http://127.0.0.1:" + std::to_string(port);
 }
 
-std::uint16_t announced_port(process& stub)
-{
-    const auto line =
-        stub.wait_for_line([](const auto& fields) { return fields.contains("port"); });
-    return line ? (*line)["port"].get<std::uint16_t>() : 0;
-}
-
 std::filesystem::path make_directory()
 {
     std::string name = (std::filesystem::temp_directory_path() / "chestnutstand-XXXXXX").string();
@@ -55,7 +48,9 @@
     return true;
 }
 
-fleet::fleet() : directory_{make_directory()}, client_{make_http_client()}
+fleet::fleet()
+    : directory_{make_directory()}, cluster_secret_{"secret-of-" + directory_.filename().string()},
+      client_{make_http_client()}
 {
     log_ = std::make_unique<process>(STUB_LOG_PROGRAM, std::vector<std::string>{});
     log_port_ = announced_port(*log_);
@@ -77,7 +72,7 @@
     added->service = service;
     nlohmann::json own_settings{{"data_centre", data_centre},
                                 {"log_url", base_url(log_port_)},
-                                {"cluster_secret", "integration-test-secret"},
+                                {"cluster_secret", cluster_secret_},
                                 {"log_level", "debug"},
                                 {"lame_duck_ms", 500}};
     own_settings.update(extra_settings_);
--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -5,6 +5,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <fcntl.h>
+#include <fstream>
 #include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -12,6 +13,7 @@
 namespace chestnutstand::testing {
 namespace {
 
+constexpr std::size_t lines_kept_beside_file = 100;
 constexpr int exec_failed_status = 127;
 constexpr auto line_wait_limit = std::chrono::seconds{20};
 constexpr auto poll_interval = std::chrono::milliseconds{5};
@@ -35,7 +37,8 @@
 
 } // namespace
 
-process::process(const std::string& program, const std::vector<std::string>& arguments)
+process::process(const std::string& program, const std::vector<std::string>& arguments,
+                 const std::string& output_file)
 {
     int input[2] = {};
     int output[2] = {};
@@ -54,7 +57,9 @@
     ::close(input[0]);
     ::close(output[1]);
     input_ = input[1];
-    reader_ = std::thread{[this, descriptor = output[0]] { read_output(descriptor); }};
+    reader_ = std::thread{[this, descriptor = output[0], output_file] {
+        read_output(descriptor, output_file);
+    }};
 }
 
 process::~process()
@@ -64,12 +69,20 @@
     reader_.join();
 }
 
-void process::read_output(int descriptor)
+void process::read_output(int descriptor, const std::string& output_file)
 {
+    std::ofstream file;
+    if (!output_file.empty()) {
+        file.open(output_file, std::ios::app);
+    }
     FILE* stream = ::fdopen(descriptor, "r");
     char* line = nullptr;
     std::size_t capacity = 0;
     while (::getline(&line, &capacity, stream) > 0) {
+        file << line << std::flush;
+        if (file.is_open() && lines_.size() >= lines_kept_beside_file) {
+            continue;
+        }
         auto parsed = nlohmann::json::parse(line, nullptr, false);
         if (!parsed.is_object()) {
             std::fprintf(stderr, "[%d] %s", static_cast<int>(pid_), line);
@@ -129,6 +142,13 @@
     return *exit_status_;
 }
 
+std::uint16_t announced_port(process& stub)
+{
+    const auto line =
+        stub.wait_for_line([](const auto& fields) { return fields.contains("port"); });
+    return line ? (*line)["port"].get<std::uint16_t>() : 0;
+}
+
 bool process::running()
 {
     if (exit_status_) {
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <mutex>
 #include <optional>
@@ -15,8 +16,11 @@
 /// Child process that writes JSON lines. It is killed when the object goes.
 class process {
 public:
-    /// Starts the program; the pipe to its standard input stays open until the object goes.
-    process(const std::string& program, const std::vector<std::string>& arguments);
+    /// Starts the program; the pipe to its standard input stays open until the object goes. Its
+    /// output is also appended to the file unless the name is empty; then only the first lines are
+    /// kept in memory.
+    process(const std::string& program, const std::vector<std::string>& arguments,
+            const std::string& output_file = {});
     process(const process&) = delete;
     process& operator=(const process&) = delete;
     ~process();
@@ -38,7 +42,7 @@
     pid_t pid() const { return pid_; }
 
 private:
-    void read_output(int descriptor);
+    void read_output(int descriptor, const std::string& output_file);
 
     pid_t pid_ = -1;
     int input_ = -1;
@@ -49,4 +53,7 @@
     std::thread reader_;
 };
 
+/// Port that a stub tells on its first line; 0 when it ended before.
+std::uint16_t announced_port(process& stub);
+
 } // namespace chestnutstand::testing
--- a/unittests/membership/gossip_network.cpp
+++ b/unittests/membership/gossip_network.cpp
@@ -76,6 +76,13 @@
     start(slot);
 }
 
+void gossip_network::restart_in_cluster(std::size_t slot, std::uint64_t cluster)
+{
+    const std::uint64_t own = std::exchange(options_.protocol.cluster, cluster);
+    start(slot);
+    options_.protocol.cluster = own;
+}
+
 void gossip_network::resume(std::size_t slot)
 {
     slot_state& state = slots_[slot];
--- a/unittests/membership/gossip_network.h
+++ b/unittests/membership/gossip_network.h
@@ -34,6 +34,8 @@
     void kill(std::size_t slot) { slots_[slot].up = false; }
     /// Starts a new process at the address of a slot.
     void restart(std::size_t slot);
+    /// Starts a process of another cluster at the address of a slot.
+    void restart_in_cluster(std::size_t slot, std::uint64_t cluster);
     void pause(std::size_t slot) { slots_[slot].paused = true; }
     void resume(std::size_t slot);
 
--- a/unittests/membership/membership_test.cpp
+++ b/unittests/membership/membership_test.cpp
@@ -191,7 +191,11 @@
         member self;
         self.node = {instance, "127.0.0.1", 1};
         self.data_centre = "howrah";
-        return {self, std::move(seeds), instance};
+        membership_options result;
+        result.self = self;
+        result.seeds = std::move(seeds);
+        result.random_seed = instance;
+        return result;
     }
 
     void run(const std::function<void()>& task)
--- a/unittests/membership/swim_test.cpp
+++ b/unittests/membership/swim_test.cpp
@@ -140,6 +140,26 @@
     EXPECT_LE(far, 1);
 }
 
+// Guards against two clusters that become one when a node of the second gets the address of a dead
+// member of the first.
+TEST(swim, stays_apart_from_another_cluster_at_the_address_of_a_dead_member)
+{
+    gossip_network_options options;
+    options.protocol.cluster = 1;
+    gossip_network network{options};
+    network.add_cluster(4, one_data_centre);
+    const std::uint64_t dead = network.instance(3);
+    network.kill(3);
+    network.run_until([&] { return all_see(network, dead, liveness::dead); }, 30 * second);
+    network.restart_in_cluster(3, 2);
+    network.run_for(60 * second);
+    EXPECT_EQ(network.node(3).members().size(), 1U);
+    for (std::size_t slot = 0; slot < 3; ++slot) {
+        EXPECT_EQ(network.node(slot).table().find(network.instance(3)), nullptr);
+        EXPECT_EQ(network.node(slot).table().live().size(), 2U);
+    }
+}
+
 // Guards against a node that takes itself for connected while it hears nothing.
 TEST(swim, tells_when_it_last_heard_of_a_member)
 {
