Give each process of a test a process group of its own

Cause of the entry in KNOWN-RED.txt (node_failure.paused_node_comes_back, 60 s without a dead member): the test ran in the process group of a background job. When the shell of the job ended, the group became an orphan, and the kernel sends SIGHUP and SIGCONT to an orphaned group with stopped members. The paused node went on and was rightly reported as alive.

A failure now also prints the state and last lines of the processes.

--- a/tests/integration/node_failure_test.cpp
+++ b/tests/integration/node_failure_test.cpp
@@ -107,7 +107,8 @@
     start(3);
     node(2).node->signal(SIGSTOP);
     EXPECT_TRUE(eventually([&] { return count_members(node(0), {"dead"}) == 1; }, gossip_limit))
-        << all_.status(node(0));
+        << all_.status(node(0)) << "\n"
+        << node(0).node->describe() << node(1).node->describe() << node(2).node->describe();
     node(2).node->signal(SIGCONT);
     for (const std::size_t peer : {0U, 1U, 2U}) {
         EXPECT_TRUE(
--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr std::size_t lines_kept_beside_file = 100;
+constexpr std::size_t described_lines = 30;
 constexpr int exec_failed_status = 127;
 constexpr auto line_wait_limit = std::chrono::seconds{20};
 constexpr auto poll_interval = std::chrono::milliseconds{5};
@@ -26,6 +27,9 @@
 [[noreturn]] void run_child(const std::string& program, std::vector<char*>& argv, int input,
                             int output)
 {
+    // Once the shell of a background job has ended, the kernel continues all stopped processes of
+    // the job's group.
+    ::setpgid(0, 0);
     // The test may be killed; its children must not outlive it.
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     ::dup2(input, STDIN_FILENO);
@@ -142,6 +146,20 @@
     return *exit_status_;
 }
 
+std::string process::describe()
+{
+    std::ifstream file{"/proc/" + std::to_string(pid_) + "/stat"};
+    std::string text;
+    std::getline(file, text);
+    text += '\n';
+    const std::lock_guard lock{mutex_};
+    const std::size_t first = lines_.size() > described_lines ? lines_.size() - described_lines : 0;
+    for (std::size_t i = first; i < lines_.size(); ++i) {
+        text += lines_[i].dump() + '\n';
+    }
+    return text;
+}
+
 std::uint16_t announced_port(process& stub)
 {
     const auto line =
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -39,6 +39,9 @@
     int wait();
 
     bool running();
+
+    /// State of the process as the kernel tells it and its last lines, for messages of failed checks.
+    std::string describe();
     pid_t pid() const { return pid_; }
 
 private:
