--- a/include/chestnutstand/config/settings.h
+++ b/include/chestnutstand/config/settings.h
@@ -48,8 +48,11 @@
 
 /// Settings of one process, read at its start.
 struct settings {
-    /// IP address that all sockets bind to and that is told to peers.
+    /// IP address that all sockets bind to.
     std::string address = "127.0.0.1";
+    /// IP address at which the other nodes reach the node port and the gossip port; the same as
+    /// address where nothing translates addresses.
+    std::string advertised_address;
     std::string data_centre;
     // Port 0 means assigned by the kernel.
     std::uint16_t caller_port = 0;
--- a/include/chestnutstand/membership/membership.h
+++ b/include/chestnutstand/membership/membership.h
@@ -22,6 +22,8 @@
 struct membership_options {
     /// Instance, address, ports and data centre of this node.
     member self;
+    /// Address of the gossip socket; empty means that of self.
+    std::string bind_address;
     std::vector<seed_address> seeds;
     /// See cluster_id().
     std::uint64_t cluster = 0;
--- a/lib/config/settings_file.cpp
+++ b/lib/config/settings_file.cpp
@@ -148,6 +148,7 @@
 {
     static const schema::object_schema<settings> keys{
         schema::text("address", ip_format, &settings::address),
+        schema::text("advertised_address", ip_format, &settings::advertised_address),
         schema::required(schema::text("data_centre", name_format, &settings::data_centre)),
         schema::integer("caller_port", "", port_range, &settings::caller_port),
         schema::integer("admin_port", "", port_range, &settings::admin_port),
@@ -206,6 +207,9 @@
         return invalid_value(top.key("cluster_secret"),
                              "required key is missing, expected a text of 16 to 256 bytes");
     }
+    if (result.advertised_address.empty()) {
+        result.advertised_address = result.address;
+    }
     if (result.grace_s > 0) {
         result.lame_duck_ms = result.grace_s * 1'000 * lame_duck_share;
         result.drain_limit_ms = result.grace_s * 1'000 * drain_share;
--- a/lib/membership/membership.cpp
+++ b/lib/membership/membership.cpp
@@ -42,7 +42,8 @@
         }
     });
     auto opened = gossip_transport::open(
-        options_.self.node.address, options_.self.gossip_port, loop_,
+        options_.bind_address.empty() ? options_.self.node.address : options_.bind_address,
+        options_.self.gossip_port, loop_,
         [handle = std::move(on_datagram)](const std::string& payload) mutable { handle(payload); });
     if (!opened.ok()) {
         return opened.status();
@@ -92,9 +93,9 @@
         }
     }
     for (const node_reference& sender : output.foreign_senders) {
-        log_event(log_level::warning, "message of another cluster dropped",
-                  {{"sender", absl::StrCat(absl::Hex(sender.instance))},
-                   {"address", sender.address}});
+        log_event(
+            log_level::warning, "message of another cluster dropped",
+            {{"sender", absl::StrCat(absl::Hex(sender.instance))}, {"address", sender.address}});
     }
     if (output.resumed) {
         log_event(log_level::warning, "resumed after a pause longer than the suspicion time");
--- a/lib/membership/swim_sync.cpp
+++ b/lib/membership/swim_sync.cpp
@@ -94,7 +94,8 @@
 std::vector<std::string> swim::finish_sync(const std::vector<std::string>& reply, time_point now)
 {
     const sync_content theirs = decode_sync(reply);
-    if (theirs.cluster != options_.cluster || theirs.digests.empty() || theirs.digests.size() > max_buckets) {
+    if (theirs.cluster != options_.cluster || theirs.digests.empty() ||
+        theirs.digests.size() > max_buckets) {
         return {};
     }
     const std::size_t count = theirs.digests.size();
--- a/lib/node/components/keys_component.cpp
+++ b/lib/node/components/keys_component.cpp
@@ -63,7 +63,7 @@
         const key_candidates candidates{node.instance(), node.peers(), *local_};
         const std::string& secret = node.config().cluster_secret;
         const key_owner_options options{
-            {node.instance(), node.config().address, node.ports().node}, secret, {}, {}};
+            {node.instance(), node.config().advertised_address, node.ports().node}, secret, {}, {}};
         owner_ =
             std::make_shared<key_owner>(options, candidates, selection(node), environment(node));
         router_ = std::make_shared<key_router>(node.instance(), secret, node.peers(), owner_,
--- a/lib/node/components/membership_component.cpp
+++ b/lib/node/components/membership_component.cpp
@@ -28,7 +28,8 @@
     absl::Status start(kernel& node) override
     {
         membership_options options;
-        options.self.node = {node.instance(), node.config().address, node.ports().node};
+        options.self.node = {node.instance(), node.config().advertised_address, node.ports().node};
+        options.bind_address = node.config().address;
         options.self.gossip_port = node.config().gossip_port;
         options.self.data_centre = node.config().data_centre;
         options.seeds = node.config().seeds;
--- a/tests/fault_proxy/relay.cpp
+++ b/tests/fault_proxy/relay.cpp
@@ -1,6 +1,7 @@
 #include "relay.h"
 
 #include <algorithm>
+#include <arpa/inet.h>
 #include <array>
 #include <atomic>
 #include <chrono>
@@ -111,10 +112,11 @@
     std::optional<std::string> other;
 };
 
-relay::relay(std::uint16_t target_port)
+relay::relay(std::uint16_t target_port, const socket_address& listen_at)
     : target_port_{target_port}, listener_{::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)}
 {
-    sockaddr_in address = loopback(0);
+    sockaddr_in address = loopback(listen_at.port);
+    ::inet_pton(AF_INET, listen_at.address.c_str(), &address.sin_addr);
     socklen_t size = sizeof address;
     auto* generic = reinterpret_cast<sockaddr*>(&address);
     if (::bind(listener_, generic, size) != 0 || ::listen(listener_, backlog) != 0 ||
--- a/tests/fault_proxy/relay.h
+++ b/tests/fault_proxy/relay.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "chestnutstand/config/settings.h"
 #include "chestnutstand/support/clock.h"
 #include "chestnutstand/support/name_table.h"
 
+#include <atomic>
 #include <condition_variable>
 #include <cstdint>
 #include <memory>
@@ -52,9 +54,12 @@
 /// live until the process ends.
 class relay {
 public:
-    explicit relay(std::uint16_t target_port);
+    /// Port 0 of the listener is assigned by the kernel.
+    explicit relay(std::uint16_t target_port, const socket_address& listen_at = {"127.0.0.1", 0});
 
     std::uint16_t port() const { return port_; }
+    /// Where connections from now on lead to.
+    void set_target(std::uint16_t port) { target_port_ = port; }
     void set_faults(const fault_settings& faults);
     relay_counts counts() const;
 
@@ -72,7 +77,7 @@
     fault_settings faults() const;
     void count_fault();
 
-    const std::uint16_t target_port_;
+    std::atomic<std::uint16_t> target_port_;
     std::uint16_t port_ = 0;
     int listener_ = -1;
     mutable std::mutex mutex_;
--- a/tests/stub_upstream/stub_upstream.cpp
+++ b/tests/stub_upstream/stub_upstream.cpp
@@ -30,8 +30,12 @@
     /// Admin port of the node beside this upstream; 0 means no registration.
     int node_admin_port = 0;
     int slots = 10;
+    /// Port to register in place of the own one; 0 means the own one.
+    int announced_port = 0;
     /// File of JSON lines, one per execution; empty means none.
     std::string history;
+    /// File of JSON lines, one per request, written before it runs; empty means none.
+    std::string arrivals;
 };
 
 /// Behaviour that a test can change while the stub runs.
@@ -54,6 +58,9 @@
         if (!options_.history.empty()) {
             history_.open(options_.history, std::ios::app);
         }
+        if (!options_.arrivals.empty()) {
+            arrivals_.open(options_.arrivals, std::ios::app);
+        }
     }
 
     void handle(const http_request& request, const std::shared_ptr<responder>& response)
@@ -136,6 +143,7 @@
             now = behaviour_;
         }
         const std::string id = text(request, header::request_id);
+        note_arrival(id, !now.shed);
         http_response answer;
         answer.headers.push_back(
             {std::string{header::request_id}, now.cross_answers ? id + "-other" : id});
@@ -175,6 +183,18 @@
         loop_.post_after(milliseconds{now.service_ms}, finish);
     }
 
+    void note_arrival(const std::string& id, bool runs)
+    {
+        const std::lock_guard lock{mutex_};
+        if (arrivals_.is_open()) {
+            arrivals_ << nlohmann::json{{"id", id},
+                                        {"runs", runs},
+                                        {"time", ms_clock::now().time_since_epoch().count()}}
+                             .dump()
+                      << std::endl;
+        }
+    }
+
     void begin_execution()
     {
         const std::lock_guard lock{mutex_};
@@ -204,6 +224,7 @@
     std::mutex mutex_;
     behaviour behaviour_;
     std::ofstream history_;
+    std::ofstream arrivals_;
     int in_flight_ = 0;
     int peak_ = 0;
     std::uint64_t executions_ = 0;
@@ -232,6 +253,8 @@
                             {"node-admin-port", required_argument, nullptr, 'n'},
                             {"slots", required_argument, nullptr, 'l'},
                             {"history", required_argument, nullptr, 'h'},
+                            {"arrivals", required_argument, nullptr, 'a'},
+                            {"announced-port", required_argument, nullptr, 'p'},
                             {nullptr, 0, nullptr, 0}};
     int found = 0;
     while ((found = getopt_long(argc, argv, "", known, nullptr)) != -1) {
@@ -248,6 +271,12 @@
         case 'h':
             options.history = optarg;
             break;
+        case 'a':
+            options.arrivals = optarg;
+            break;
+        case 'p':
+            options.announced_port = std::atoi(optarg);
+            break;
         default:
             std::exit(2);
         }
@@ -273,7 +302,8 @@
     const auto client = make_http_client();
     control_loop announcer;
     if (options.node_admin_port != 0) {
-        const auto again = [&] { announce(*client, options, server.port()); };
+        const int port = options.announced_port != 0 ? options.announced_port : server.port();
+        const auto again = [&client, &options, port] { announce(*client, options, port); };
         announcer.post(again);
         announcer.repeat(register_interval, again);
     }
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -49,8 +49,8 @@
 }
 
 fleet::fleet()
-    : directory_{make_directory()}, cluster_secret_{"secret-of-" + directory_.filename().string()},
-      client_{make_http_client()}
+    : directory_{make_directory()},
+      cluster_secret_{"secret-of-" + directory_.filename().string()}, client_{make_http_client()}
 {
     log_ = std::make_unique<process>(STUB_LOG_PROGRAM, std::vector<std::string>{});
     log_port_ = announced_port(*log_);
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -64,7 +64,8 @@
     std::vector<std::unique_ptr<fleet_member>>& members() { return members_; }
     std::uint16_t log_port() const { return log_port_; }
     process& log() { return *log_; }
-    /// Differs between fleets, as nodes of tests that run at the same time reuse each other's ports.
+    /// Differs between fleets, as nodes of tests that run at the same time reuse each other's
+    /// ports.
     const std::string& cluster_secret() const { return cluster_secret_; }
     const std::filesystem::path& directory() const { return directory_; }
     /// Extra settings merged into the settings file of nodes added from now on.
--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -61,9 +61,8 @@
     ::close(input[0]);
     ::close(output[1]);
     input_ = input[1];
-    reader_ = std::thread{[this, descriptor = output[0], output_file] {
-        read_output(descriptor, output_file);
-    }};
+    reader_ = std::thread{
+        [this, descriptor = output[0], output_file] { read_output(descriptor, output_file); }};
 }
 
 process::~process()
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -40,7 +40,8 @@
 
     bool running();
 
-    /// State of the process as the kernel tells it and its last lines, for messages of failed checks.
+    /// State of the process as the kernel tells it and its last lines, for messages of failed
+    /// checks.
     std::string describe();
     pid_t pid() const { return pid_; }
 
--- a/unittests/config/settings_file_test.cpp
+++ b/unittests/config/settings_file_test.cpp
@@ -38,6 +38,7 @@
     ASSERT_EQ(parsed->seeds.size(), 1U);
     EXPECT_EQ(parsed->seeds[0].gossip_port, 7000);
     EXPECT_EQ(parsed->address, "127.0.0.1");
+    EXPECT_EQ(parsed->advertised_address, "127.0.0.1");
     EXPECT_EQ(parsed->drain_limit_ms, 30'000);
 }
 
