Add a replay of load patterns through the decisions of the product

The real dispatcher, admission queues, concurrency limits, pace and return times run in simulated time in front of modelled upstreams that get slower when nearly full.

--- a/benchmarks/policy_benchmark.cpp
+++ b/benchmarks/policy_benchmark.cpp
@@ -147,8 +147,10 @@
 
     void add_dispatcher(std::size_t data_centre, bool hedging)
     {
-        networks_.push_back(
-            std::make_unique<fake_network>(loop, upstreams, data_centre, milliseconds{1.5}));
+        networks_.push_back(std::make_unique<model_network>(
+            loop,
+            [this](std::uint64_t instance) -> model_member& { return *upstreams[instance - 1]; },
+            data_centre, milliseconds{1.5}));
         dispatcher_options options;
         options.self_instance = 1000 + dispatchers_.size();
         options.data_centre = std::to_string(data_centre);
@@ -211,7 +213,7 @@
     snapshot<document> configuration_;
     metrics counters_;
     std::vector<std::uint64_t> members_;
-    std::vector<std::unique_ptr<fake_network>> networks_;
+    std::vector<std::unique_ptr<model_network>> networks_;
     std::vector<std::unique_ptr<dispatcher>> dispatchers_;
     time_point start_;
     bool arrivals_end_ = false;
--- a/benchmarks/policy_model.cpp
+++ b/benchmarks/policy_model.cpp
@@ -8,7 +8,6 @@
 namespace chestnutstand::benchmark {
 namespace {
 
-constexpr milliseconds same_data_centre{0.1};
 constexpr milliseconds fast_failure{0.05};
 /// Spread of the service times; the 99th percentile is about 2.8 times the mean.
 constexpr double service_sigma = 0.5;
@@ -16,25 +15,9 @@
 
 } // namespace
 
-void event_loop::after(milliseconds delay, std::function<void()> work)
-{
-    events_.push({now_ + delay, next_sequence_++, std::move(work)});
-}
-
-void event_loop::run_until(time_point end)
-{
-    while (!events_.empty() && events_.top().due <= end) {
-        event next = std::move(const_cast<event&>(events_.top()));
-        events_.pop();
-        now_ = next.due;
-        next.work();
-    }
-    now_ = end;
-}
-
 fake_upstream::fake_upstream(event_loop& loop, std::uint64_t instance, std::size_t data_centre,
                              std::uint64_t seed)
-    : loop_{loop}, instance_{instance}, data_centre_{data_centre}, random_{seed}
+    : model_member{instance, data_centre}, loop_{loop}, random_{seed}
 {
 }
 
@@ -93,7 +76,7 @@
 load_report fake_upstream::report() const
 {
     load_report load;
-    load.instance = instance_;
+    load.instance = instance();
     load.limit = slots;
     load.upstream_registered = true;
     if (!misleads) {
@@ -104,36 +87,4 @@
     return load;
 }
 
-fake_upstream& fake_network::find(const node_reference& target)
-{
-    return **std::find_if(upstreams_.begin(), upstreams_.end(), [&target](const auto& entry) {
-        return entry->instance() == target.instance;
-    });
-}
-
-milliseconds fake_network::one_way(const fake_upstream& target) const
-{
-    return target.data_centre() == data_centre_ ? same_data_centre : between_data_centres_;
-}
-
-void fake_network::execute(const node_reference& target, const call& what, call_done done)
-{
-    fake_upstream& upstream = find(target);
-    const milliseconds delay = one_way(upstream);
-    call_done reply = [this, delay, done = std::move(done)](call_result result) {
-        loop_.after(delay, [done, result = std::move(result)] { done(result); });
-    };
-    loop_.after(delay,
-                [&upstream, what, reply = std::move(reply)] { upstream.execute(what, reply); });
-}
-
-void fake_network::probe(const node_reference& target, milliseconds /*timeout*/, probe_done done)
-{
-    fake_upstream& upstream = find(target);
-    const milliseconds delay = one_way(upstream);
-    loop_.after(delay, [this, &upstream, delay, done = std::move(done)] {
-        loop_.after(delay, [done, report = upstream.report()] { done(report); });
-    });
-}
-
 } // namespace chestnutstand::benchmark
--- /dev/null
+++ b/unittests/replay/model_network.cpp
@@ -0,0 +1,63 @@
+#include "model_network.h"
+
+#include <absl/status/status.h>
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+namespace chestnutstand {
+namespace {
+
+constexpr milliseconds same_data_centre{0.1};
+
+} // namespace
+
+milliseconds model_network::one_way(const model_member& target) const
+{
+    return target.data_centre() == data_centre_ ? same_data_centre : between_data_centres_;
+}
+
+void model_network::execute(const node_reference& target, const call& what, call_done done)
+{
+    model_member& member = find_(target.instance);
+    const milliseconds delay = one_way(member);
+    // Whichever comes first ends the call: its answer, its cancellation or its deadline.
+    const auto once = std::make_shared<call_done>(std::move(done));
+    const auto end = [once](call_result result) {
+        if (const auto first = std::exchange(*once, nullptr)) {
+            first(std::move(result));
+        }
+    };
+    const milliseconds left = std::max(milliseconds{0}, what.deadline - loop_.now());
+    loop_.after(left, [end] { end(unknown_outcome(reason::deadline_exceeded)); });
+    if (what.cancel) {
+        what.cancel->on_cancel([end] { end(unknown_outcome(reason::caller_gone)); });
+    }
+    loop_.after(delay, [this, &member, what, delay, end] {
+        if (member.silent) {
+            return;
+        }
+        member.execute(what, [this, &member, delay, end](call_result result) {
+            if (member.silent) {
+                return;
+            }
+            loop_.after(delay, [end, result = std::move(result)] { end(result); });
+        });
+    });
+}
+
+void model_network::probe(const node_reference& target, milliseconds timeout, probe_done done)
+{
+    model_member& member = find_(target.instance);
+    const milliseconds delay = one_way(member);
+    loop_.after(delay, [this, &member, delay, timeout, done = std::move(done)] {
+        if (member.silent) {
+            loop_.after(timeout, [done] { done(absl::DeadlineExceededError("no answer")); });
+            return;
+        }
+        loop_.after(delay, [done, report = member.report()] { done(report); });
+    });
+}
+
+} // namespace chestnutstand
