--- a/soak/deployment.cpp
+++ b/soak/deployment.cpp
@@ -51,6 +51,7 @@
         added->caller_link = new testing::relay{1};
         added->upstream_link = new testing::relay{1};
         added->store_link = new testing::relay{store_port_};
+        added->admin_link = new testing::relay{1};
         nodes_.push_back(std::move(added));
     }
 }
@@ -90,6 +91,7 @@
     which.node_link = new testing::relay{peers.port, peers};
     which.gossip_link = new datagram_relay{gossip, gossip.port, seed_ + index};
     which.admin_port = port("admin_port");
+    which.admin_link->set_target(which.admin_port);
     which.caller_link->set_target(port("caller_port"));
     ++which.life;
 }
@@ -101,7 +103,7 @@
     which.upstream = std::make_unique<testing::process>(
         STUB_UPSTREAM_PROGRAM,
         std::vector<std::string>{"--service", which.service, "--node-admin-port",
-                                 std::to_string(which.admin_port), "--announced-port",
+                                 std::to_string(which.admin_link->port()), "--announced-port",
                                  std::to_string(which.upstream_link->port()), "--arrivals",
                                  arrivals_file(index).string()});
     which.upstream_port = testing::announced_port(*which.upstream);
--- a/soak/deployment.h
+++ b/soak/deployment.h
@@ -27,6 +27,8 @@
     testing::relay* caller_link = nullptr;
     testing::relay* upstream_link = nullptr;
     testing::relay* store_link = nullptr;
+    /// Where the upstream registers; never disturbed.
+    testing::relay* admin_link = nullptr;
     // Each start of a node has new ports.
     testing::relay* node_link = nullptr;
     datagram_relay* gossip_link = nullptr;
--- a/tests/stub_store/stub_store.cpp
+++ b/tests/stub_store/stub_store.cpp
@@ -11,6 +11,7 @@
 #include <absl/strings/escaping.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <cstdlib>
 #include <map>
 #include <mutex>
@@ -125,6 +126,21 @@
             return;
         }
         waiting_.push_back({topic, static_cast<std::size_t>(from), response});
+        const auto wait = std::strtod(parameter(target, "WaitMs").c_str(), nullptr);
+        loop_.post_after(milliseconds{wait}, [this, response] { end_wait(response); });
+    }
+
+    /// A read that nothing came for within its time gets an answer without records.
+    void end_wait(const std::shared_ptr<responder>& response)
+    {
+        const std::lock_guard lock{mutex_};
+        const auto found = std::find_if(waiting_.begin(), waiting_.end(), [&](const auto& each) {
+            return each.response == response;
+        });
+        if (found != waiting_.end()) {
+            answer_read(found->topic, found->from, *response);
+            waiting_.erase(found);
+        }
     }
 
     void answer_read(const std::string& topic, std::size_t from, responder& response)
@@ -140,6 +156,7 @@
     std::mutex mutex_;
     std::map<std::string, std::vector<stored_record>> topics_;
     std::vector<waiting_read> waiting_;
+    control_loop loop_;
 };
 
 } // namespace
