--- a/include/chestnutstand/routing/outlier_detector.h
+++ b/include/chestnutstand/routing/outlier_detector.h
@@ -10,6 +10,13 @@
 
 namespace chestnutstand {
 
+/// What the end of a call changed for a member.
+enum class ejection_change : std::uint8_t {
+    none,
+    ejected,
+    readmitted, ///< The first call after an ejection has ended.
+};
+
 /// Ejects members of one service that fail much more often than the others. Never ejects more than
 /// half of the members. Not safe for concurrent use.
 class outlier_detector {
@@ -19,7 +26,8 @@
 
     /// Takes the end of one call to a member. The generator draws the jitter of the ejection
     /// period, so that the nodes do not readmit a member all at once.
-    void record(std::uint64_t instance, bool succeeded, time_point now, random_generator& random);
+    ejection_change record(std::uint64_t instance, bool succeeded, time_point now,
+                           random_generator& random);
 
     /// Share of traffic that the member should get: 0 while ejected, growing after that up to 1.
     double share(std::uint64_t instance, time_point now) const;
@@ -35,6 +43,7 @@
         time_point last_call{};
         time_point ejected_until{};
         bool was_ejected = false;
+        bool readmitted = false;
     };
 
     static double failure_ratio(const history& member);
--- a/lib/node/dispatched_call.h
+++ b/lib/node/dispatched_call.h
@@ -51,15 +51,12 @@
     /// The result that says most about whether the call ran.
     std::optional<call_result> failure;
 
-    void note_attempt(const call_result& result)
+    void note_attempt(const call_result& result, std::uint64_t member)
     {
         const std::string end = result.outcome == outcome::completed
                                     ? std::to_string(result.response.status)
                                     : std::string{to_string(result.why)};
-        absl::StrAppend(&history, history.empty() ? "" : " ", end);
-        if (result.load) {
-            absl::StrAppend(&history, "@", absl::Hex(result.load->instance));
-        }
+        absl::StrAppend(&history, history.empty() ? "" : " ", end, "@", absl::Hex(member));
     }
 
     /// Makes the members that only were slow eligible again; false when there are none.
--- a/lib/node/dispatcher.cpp
+++ b/lib/node/dispatcher.cpp
@@ -139,7 +139,8 @@
 
     void refuse(reason why, const call_done& done);
     bool start_attempt(const call_state& running);
-    void finish_attempt(const call_state& running, std::uint32_t carried, call_result result);
+    void finish_attempt(const call_state& running, std::uint32_t carried, std::uint64_t member,
+                        call_result result);
     bool needs_settlement(const dispatched_call& running, const peer& target,
                           const call_result& result) const;
     void settle(const call_state& running, std::uint32_t carried, const node_reference& target);
@@ -272,7 +273,7 @@
                  self->settle(running, carried, target->node);
                  return;
              }
-             self->finish_attempt(running, carried, std::move(result));
+             self->finish_attempt(running, carried, target->node.instance, std::move(result));
          });
     return true;
 }
@@ -292,7 +293,8 @@
 {
     peers_.settle(
         target, attempt_key(running->what.request_id), settle_timeout,
-        [self = shared_from_this(), running, carried](absl::StatusOr<settle_result> settled) {
+        [self = shared_from_this(), running, carried,
+         member = target.instance](absl::StatusOr<settle_result> settled) {
             call_result result = unknown_outcome(reason::peer_connection_lost);
             if (settled.ok() && settled->state == settle_state::completed) {
                 result = {outcome::completed, reason::none, std::move(settled->response), {}};
@@ -300,12 +302,12 @@
             else if (settled.ok() && settled->state == settle_state::fenced) {
                 result = not_run(reason::key_fenced);
             }
-            self->finish_attempt(running, carried, std::move(result));
+            self->finish_attempt(running, carried, member, std::move(result));
         });
 }
 
 void dispatcher::core::finish_attempt(const call_state& running, std::uint32_t carried,
-                                      call_result result)
+                                      std::uint64_t member, call_result result)
 {
     const bool is_last_word = is_final(*running, result);
     {
@@ -314,7 +316,7 @@
         if (running->finished) {
             return;
         }
-        running->note_attempt(result);
+        running->note_attempt(result, member);
         running->queue_refusals += refused_by_queue(result) ? 1 : 0;
         if (result.why == reason::upstream_slow && result.load) {
             running->slow.push_back(result.load->instance);
--- a/lib/routing/outlier_detector.cpp
+++ b/lib/routing/outlier_detector.cpp
@@ -6,6 +6,7 @@
 #include <bit>
 #include <cmath>
 #include <random>
+#include <utility>
 
 namespace chestnutstand {
 namespace {
@@ -42,12 +43,12 @@
     members_ = std::move(next);
 }
 
-void outlier_detector::record(std::uint64_t instance, bool succeeded, time_point now,
-                              random_generator& random)
+ejection_change outlier_detector::record(std::uint64_t instance, bool succeeded, time_point now,
+                                         random_generator& random)
 {
     const auto found = members_.find(instance);
     if (found == members_.end() || now < found->second.ejected_until) {
-        return;
+        return ejection_change::none;
     }
     history& member = found->second;
     if (now - member.last_call > memory) {
@@ -59,11 +60,14 @@
     member.calls = std::min<std::uint8_t>(window_calls, member.calls + 1);
     if (stands_out(instance, member, now)) {
         eject(member, now, random);
+        return ejection_change::ejected;
     }
-    else if (member.calls == window_calls && member.failures == 0 && !readmitting(member, now)) {
+    if (member.calls == window_calls && member.failures == 0 && !readmitting(member, now)) {
         member.ejections = 0;
         member.was_ejected = false;
     }
+    const bool first = member.was_ejected && !std::exchange(member.readmitted, true);
+    return first ? ejection_change::readmitted : ejection_change::none;
 }
 
 double outlier_detector::share(std::uint64_t instance, time_point now) const
@@ -124,6 +128,7 @@
         std::min<milliseconds>(longest_period, base_period * std::exp2(doublings));
     std::uniform_real_distribution<double> spread{1.0 - jitter, 1.0 + jitter};
     member.ejected_until = now + period * spread(random);
+    member.readmitted = false;
     member.ejections = std::min<std::uint8_t>(most_doublings, member.ejections + 1);
     member.was_ejected = true;
     member.calls = 0;
--- a/lib/routing/upstream_selector.cpp
+++ b/lib/routing/upstream_selector.cpp
@@ -5,6 +5,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <string_view>
 #include <utility>
 
 namespace chestnutstand {
@@ -79,6 +80,21 @@
     return false;
 }
 
+void log_ejection(ejection_change change, const peer& of, std::string_view service,
+                  std::size_t ejected)
+{
+    if (change == ejection_change::none) {
+        return;
+    }
+    log_event(log_level::warning,
+              change == ejection_change::ejected ? "member ejected for failures"
+                                                 : "member readmitted",
+              {{"member", absl::StrCat(absl::Hex(of.node.instance))},
+               {"address", of.node.address},
+               {"service", std::string{service}},
+               {"ejected_members", static_cast<std::uint64_t>(ejected)}});
+}
+
 } // namespace
 
 upstream_selector::upstream_selector(const snapshot<routing_table>& routes,
@@ -265,7 +281,8 @@
         state->latencies[priority].record(now - sent, now);
     }
     if (good || failed(result)) {
-        state->peers.outliers().record(target.node.instance, good, now, random_);
+        log_ejection(state->peers.outliers().record(target.node.instance, good, now, random_),
+                     target, service, state->peers.outliers().ejected_count(now));
     }
     if (result.load && state->policy->reports() != report_source::probes) {
         store_report(target, *state, *result.load, now);
--- a/lib/transport/curl_client.cpp
+++ b/lib/transport/curl_client.cpp
@@ -25,6 +25,8 @@
 constexpr unsigned unacknowledged_limit_ms = 750;
 constexpr int keepalive_seconds = 2;
 constexpr long max_pooled_connections = 256;
+/// A handle takes a few kilobytes; more transfers than this rarely run at once.
+constexpr std::size_t max_idle_handles = 64;
 constexpr int poll_timeout_ms = 1'000;
 constexpr int status_no_content = 204;
 constexpr int status_not_modified = 304;
@@ -175,6 +177,11 @@
     return http_error::connection_lost;
 }
 
+class curl_client;
+
+/// The client whose thread this is.
+thread_local const curl_client* client_of_this_thread = nullptr;
+
 class curl_client final : public http_client {
 public:
     explicit curl_client(std::size_t max_response_bytes)
@@ -195,6 +202,9 @@
         }
         curl_multi_wakeup(multi_);
         thread_.join();
+        for (CURL* idle : idle_handles_) {
+            curl_easy_cleanup(idle);
+        }
         curl_multi_cleanup(multi_);
     }
 
@@ -206,6 +216,7 @@
         next->done = std::move(done);
         next->max_response_bytes = max_response_bytes_;
         next->started = ms_clock::now();
+        next->handle = take_handle();
         configure(*next, base_url, timeout);
         request_id id = 0;
         {
@@ -213,7 +224,7 @@
             id = next->id = next_id_++;
             added_.push_back(std::move(next));
         }
-        curl_multi_wakeup(multi_);
+        wake();
         return id;
     }
 
@@ -223,13 +234,17 @@
             const std::lock_guard lock{mutex_};
             cancelled_.push_back(id);
         }
-        curl_multi_wakeup(multi_);
+        wake();
     }
 
 private:
     static void configure(transfer& next, const std::string& base_url, milliseconds timeout);
     void run();
+    void wake();
+    CURL* take_handle();
+    void keep_handle(CURL* handle);
     bool take_orders();
+    bool has_orders();
     void add(std::unique_ptr<transfer> next);
     void finish_completed();
     void finish(request_id id, http_error error);
@@ -243,13 +258,14 @@
     request_id next_id_ = 1;
     std::vector<std::unique_ptr<transfer>> added_;
     std::vector<request_id> cancelled_;
+    std::vector<CURL*> idle_handles_;
     /// Only used by the client's thread.
     std::unordered_map<request_id, std::unique_ptr<transfer>> running_;
 };
 
 void curl_client::configure(transfer& next, const std::string& base_url, milliseconds timeout)
 {
-    CURL* handle = next.handle = curl_easy_init();
+    CURL* handle = next.handle;
     const std::string url = base_url + next.request.target;
     curl_easy_setopt(handle, CURLOPT_URL, url.c_str());
     curl_easy_setopt(handle, CURLOPT_PRIVATE, &next);
@@ -294,12 +310,50 @@
     curl_easy_setopt(handle, CURLOPT_HTTPHEADER, next.headers);
 }
 
+/// Callbacks often send the next request; the client's thread sees it without being woken.
+void curl_client::wake()
+{
+    if (client_of_this_thread != this) {
+        curl_multi_wakeup(multi_);
+    }
+}
+
+CURL* curl_client::take_handle()
+{
+    {
+        const std::lock_guard lock{mutex_};
+        if (!idle_handles_.empty()) {
+            CURL* idle = idle_handles_.back();
+            idle_handles_.pop_back();
+            return idle;
+        }
+    }
+    return curl_easy_init();
+}
+
+void curl_client::keep_handle(CURL* handle)
+{
+    curl_easy_reset(handle);
+    {
+        const std::lock_guard lock{mutex_};
+        if (idle_handles_.size() < max_idle_handles) {
+            idle_handles_.push_back(handle);
+            return;
+        }
+    }
+    curl_easy_cleanup(handle);
+}
+
 void curl_client::run()
 {
+    client_of_this_thread = this;
     while (take_orders()) {
         int active = 0;
         curl_multi_perform(multi_, &active);
         finish_completed();
+        if (has_orders()) {
+            continue;
+        }
         curl_multi_poll(multi_, nullptr, 0, poll_timeout_ms, nullptr);
     }
     cancel_all();
@@ -325,6 +379,12 @@
     return !stopping;
 }
 
+bool curl_client::has_orders()
+{
+    const std::lock_guard lock{mutex_};
+    return !added_.empty() || !cancelled_.empty() || stopping_;
+}
+
 void curl_client::add(std::unique_ptr<transfer> next)
 {
     curl_multi_add_handle(multi_, next->handle);
@@ -360,6 +420,7 @@
     // Removing a handle in mid-transfer closes its connection, so a late response cannot be taken
     // for the response of another request.
     curl_multi_remove_handle(multi_, ended->handle);
+    keep_handle(std::exchange(ended->handle, nullptr));
     ended->result.error = error;
     ended->result.elapsed = ms_clock::now() - ended->started;
     ended->done(std::move(ended->result));
--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -20,6 +20,7 @@
 #include <fstream>
 #include <getopt.h>
 #include <map>
+#include <stdexcept>
 #include <string>
 #include <thread>
 
@@ -154,6 +155,9 @@
 {
     const std::filesystem::path directory{chosen.directory};
     std::filesystem::create_directories(directory);
+    if (!std::filesystem::is_empty(directory)) {
+        throw std::runtime_error{"the directory holds the records of another run"};
+    }
     deployment all{directory, chosen.nodes, chosen.seed};
     run_record record;
     const time_point start = ms_clock::now();
--- a/unittests/routing/outlier_detector_test.cpp
+++ b/unittests/routing/outlier_detector_test.cpp
@@ -37,6 +37,28 @@
     outlier_detector detector_;
 };
 
+// Guards against ejections and readmissions that leave no line in the log, or one for each call.
+TEST_F(outlier_detector_test, tells_each_change_once)
+{
+    record(2, true, 10);
+    std::vector<ejection_change> changes;
+    const auto note = [&](bool succeeded) {
+        const auto change = detector_.record(1, succeeded, now_, random_);
+        if (change != ejection_change::none) {
+            changes.push_back(change);
+        }
+    };
+    for (int i = 0; i < 30; ++i) {
+        note(false);
+    }
+    ejected_for(1);
+    for (int i = 0; i < 30; ++i) {
+        note(true);
+    }
+    EXPECT_EQ(changes,
+              (std::vector{ejection_change::ejected, ejection_change::readmitted}));
+}
+
 // Guards against an upstream that fails within microseconds and gets traffic until a time window
 // has passed.
 TEST_F(outlier_detector_test, fast_failures_eject_without_time_passing)
