Keep the count of lost log lines until a line with it is written

Cause: the count was taken out of the counter when a line was built. When that line was lost as well, as happens with a reader that stays behind, the lines before it were never counted.

--- a/lib/support/log.cpp
+++ b/lib/support/log.cpp
@@ -11,7 +11,6 @@
 
 #include <nlohmann/json.hpp>
 
-#include <atomic>
 #include <climits>
 #include <memory>
 #include <mutex>
@@ -22,9 +21,6 @@
 namespace chestnutstand {
 namespace {
 
-/// Lines that standard output did not take.
-std::atomic<std::uint64_t> lost_lines = 0;
-
 /// A pipe takes as many bytes at once, or none.
 constexpr std::size_t max_line_bytes = PIPE_BUF;
 /// Bounds of each kind of message; a node at its usual load stays below.
@@ -43,6 +39,9 @@
     void append(const log4cplus::spi::InternalLoggingEvent& event) override
     {
         std::string line = event.getMessage();
+        if (lost_lines_ > 0) {
+            line.insert(line.size() - 1, ",\"lines_lost\":" + std::to_string(lost_lines_));
+        }
         if (line.size() >= max_line_bytes) {
             line = R"({"level":"warning","message":"log line too long"})";
         }
@@ -50,9 +49,16 @@
         pollfd output{STDOUT_FILENO, POLLOUT, 0};
         const bool writable = ::poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
         if (!writable || ::write(STDOUT_FILENO, line.data(), line.size()) < 0) {
-            ++lost_lines;
+            ++lost_lines_;
+            return;
         }
+        lost_lines_ = 0;
     }
+
+private:
+    /// Lines that standard output did not take since the last one that it took. The calls of
+    /// append() are serialized.
+    std::uint64_t lost_lines_ = 0;
 };
 
 constexpr name_table<log_level, 4> level_names{{"debug", "info", "warning", "error"}};
@@ -122,9 +128,6 @@
     if (*left_out > 0) {
         line["lines_left_out"] = *left_out;
     }
-    if (const auto lost = lost_lines.exchange(0); lost > 0) {
-        line["lines_lost"] = lost;
-    }
     // Invalid UTF-8 in a value must not stop the process.
     logger.forcedLog(native_level,
                      line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
--- a/tests/integration/routed_path_test.cpp
+++ b/tests/integration/routed_path_test.cpp
@@ -4,8 +4,12 @@
 
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <csignal>
+#include <fstream>
 #include <string>
+#include <thread>
+#include <vector>
 
 namespace chestnutstand::testing {
 namespace {
@@ -97,6 +101,41 @@
     EXPECT_EQ(stopping.node->wait(), 0);
 }
 
+// Guards against a changed settings file that costs the calls of the moment.
+TEST_F(routed_path, serves_while_its_settings_are_reloaded)
+{
+    write_document(1, "/view/");
+    const auto& node = all_.add("east", "alpha");
+    ASSERT_TRUE(eventually([&] { return status_of(node, "/view/1") == 200; }));
+    std::atomic<bool> stop{false};
+    std::atomic<int> served{0};
+    std::atomic<int> other{0};
+    std::vector<std::thread> callers;
+    for (int i = 0; i < 3; ++i) {
+        callers.emplace_back([&] {
+            while (!stop) {
+                ++(status_of(node, "/view/1") == 200 ? served : other);
+            }
+        });
+    }
+    const auto file = all_.directory() / "node-0.json";
+    auto settings = nlohmann::json::parse(std::ifstream{file});
+    for (const char* level : {"info", "debug", "info"}) {
+        settings["log_level"] = level;
+        std::ofstream{file} << settings.dump();
+        node.node->signal(SIGHUP);
+        const int before = served;
+        EXPECT_TRUE(eventually([&] { return served > before + 100; }));
+    }
+    stop = true;
+    for (std::thread& caller : callers) {
+        caller.join();
+    }
+    EXPECT_TRUE(node.node->wait_for_line(
+        [](const auto& fields) { return fields.value("message", "") == "settings reloaded"; }));
+    EXPECT_EQ(other, 0);
+}
+
 // Guards against a request id of a caller that leads to nothing in the logs.
 TEST_F(routed_path, logs_what_became_of_a_request)
 {
