Make the soak see swapped answers and abrupt ends

Cause: an upstream that answered for another request still sent the right content, answers are swapped in one of six link faults only, requests took no time, so that few were on their way at a signal, and the check left out all calls of the last 0.1 s, also those sent before the signal. A test of the last failed before.

--- a/soak/checks.cpp
+++ b/soak/checks.cpp
@@ -62,8 +62,9 @@
                              absl::StrCat("node ", stop.node, " ended with ", stop.exit_status)});
         }
         for (const call_record& call : seen.calls) {
-            const bool concerned = call.node == stop.node && call.time.meets(stop.time) &&
-                                   call.time.from < stop.time.to - closing_ms;
+            const double last = std::max(stop.time.from, stop.time.to - closing_ms);
+            const bool concerned =
+                call.node == stop.node && call.time.meets(stop.time) && call.time.from < last;
             if (concerned && call.error != http_error::none) {
                 found.push_back({promise::graceful_stop,
                                  absl::StrCat("request ", call.id, " got no answer from node ",
--- a/soak/checks_test.cpp
+++ b/soak/checks_test.cpp
@@ -95,6 +95,18 @@
     EXPECT_EQ(broken(), promises{});
 }
 
+// Guards against a check that overlooks a process which ends at once.
+TEST_F(soak_checks, find_a_call_lost_by_a_stop_that_takes_no_time)
+{
+    auto lost = call("lost", true, 0);
+    lost.node = 2;
+    lost.time = {9'990, 10'002};
+    lost.error = http_error::connection_lost;
+    record_.calls.push_back(lost);
+    record_.stops[0].time.to = 10'005;
+    EXPECT_EQ(broken(), promises{promise::graceful_stop});
+}
+
 // Guards against a check that overlooks a stop which ends in an error.
 TEST_F(soak_checks, find_a_stop_with_a_wrong_status)
 {
--- a/soak/deployment.cpp
+++ b/soak/deployment.cpp
@@ -105,7 +105,8 @@
         std::vector<std::string>{"--service", which.service, "--node-admin-port",
                                  std::to_string(which.admin_link->port()), "--announced-port",
                                  std::to_string(which.upstream_link->port()), "--arrivals",
-                                 arrivals_file(index).string()});
+                                 arrivals_file(index).string(), "--service-ms",
+                                 std::to_string(service_ms)});
     which.upstream_port = testing::announced_port(*which.upstream);
     which.upstream_link->set_target(which.upstream_port);
 }
--- a/soak/deployment.h
+++ b/soak/deployment.h
@@ -57,6 +57,9 @@
     testing::process& store() { return *store_; }
     std::filesystem::path arrivals_file(std::size_t index) const;
 
+    /// Time that an upstream takes for a request.
+    static constexpr double service_ms = 15;
+
     /// Services; the upstreams are spread evenly over them.
     static const std::vector<std::string>& services();
 
--- a/soak/injector.cpp
+++ b/soak/injector.cpp
@@ -29,6 +29,7 @@
                                   fault_mode::drop_response, fault_mode::truncate};
     if (fault.kind == fault_kind::upstream_link) {
         modes.push_back(fault_mode::cross);
+        modes.push_back(fault_mode::cross);
     }
     testing::fault_settings settings;
     settings.mode = modes[fault.variant % modes.size()];
@@ -222,7 +223,7 @@
             all_.start_upstream(index);
         }
         else {
-            set({{"service_ms", 0},
+            set({{"service_ms", deployment::service_ms},
                  {"shed", false},
                  {"fail_fast", false},
                  {"cross_answers", false}});
--- a/tests/integration/routed_path_test.cpp
+++ b/tests/integration/routed_path_test.cpp
@@ -111,7 +111,9 @@
     std::atomic<int> served{0};
     std::atomic<int> other{0};
     std::vector<std::thread> callers;
-    for (int i = 0; i < 3; ++i) {
+    constexpr std::size_t caller_count = 3;
+    callers.reserve(caller_count);
+    for (std::size_t i = 0; i < caller_count; ++i) {
         callers.emplace_back([&] {
             while (!stop) {
                 ++(status_of(node, "/view/1") == 200 ? served : other);
--- a/tests/stub_upstream/stub_upstream.cpp
+++ b/tests/stub_upstream/stub_upstream.cpp
@@ -32,6 +32,7 @@
     int slots = 10;
     /// Port to register in place of the own one; 0 means the own one.
     int announced_port = 0;
+    double service_ms = 0.0;
     /// File of JSON lines, one per execution; empty means none.
     std::string history;
     /// File of JSON lines, one per request, written before it runs; empty means none.
@@ -45,7 +46,7 @@
     bool shed = false;
     /// Answers 500 at once.
     bool fail_fast = false;
-    /// Gives a wrong request id in the response.
+    /// Answers with the id and the content of another request.
     bool cross_answers = false;
     /// What GET /load claims to be in flight; negative means the truth.
     int claimed_in_flight = -1;
@@ -55,6 +56,7 @@
 public:
     explicit stub_upstream(stub_options options) : options_{std::move(options)}
     {
+        behaviour_.service_ms = options_.service_ms;
         if (!options_.history.empty()) {
             history_.open(options_.history, std::ios::app);
         }
@@ -165,7 +167,7 @@
             {"service", options_.service},
             {"target", request.target},
             {"method", request.method},
-            {"echo", request.body},
+            {"echo", now.cross_answers ? "content of another request" : request.body},
             {"headers", header_names(request)},
             {"timeout_ms", text(request, header::timeout_ms)},
             {"depth", text(request, header::depth)},
@@ -255,6 +257,7 @@
                             {"history", required_argument, nullptr, 'h'},
                             {"arrivals", required_argument, nullptr, 'a'},
                             {"announced-port", required_argument, nullptr, 'p'},
+                            {"service-ms", required_argument, nullptr, 'm'},
                             {nullptr, 0, nullptr, 0}};
     int found = 0;
     while ((found = getopt_long(argc, argv, "", known, nullptr)) != -1) {
@@ -277,6 +280,9 @@
         case 'p':
             options.announced_port = std::atoi(optarg);
             break;
+        case 'm':
+            options.service_ms = std::strtod(optarg, nullptr);
+            break;
         default:
             std::exit(2);
         }
--- a/unittests/replay/replay_test.cpp
+++ b/unittests/replay/replay_test.cpp
@@ -19,9 +19,9 @@
     void (*prepare)(world&);
 };
 
-void PrintTo(const gain& shown, std::ostream* out)
+std::ostream& operator<<(std::ostream& out, const gain& shown)
 {
-    *out << shown.decision << " under " << shown.pattern;
+    return out << shown.decision << " under " << shown.pattern;
 }
 
 double in_target(const gain& compared, const policies& chosen, const std::string& pattern)
