Judge planned stops of nodes that other faults have hit before

Now only faults that cut callers off at that time count: a killed or paused node, and its callers' link until connections that were frozen have gone.

--- a/soak/checks_test.cpp
+++ b/soak/checks_test.cpp
@@ -141,7 +141,7 @@
 {
     record_.versions[1].version = 1;
     EXPECT_EQ(broken(), promises{promise::config_in_time});
-    record_.disturbances.push_back({0, {1'000, 3'000}});
+    record_.disturbances.push_back({0, {1'000, 3'000}, {}});
     EXPECT_EQ(broken(), promises{});
     record_.disturbances.clear();
     limits_.timing = false;
@@ -162,7 +162,7 @@
 {
     record_.calls[0].time.to = record_.calls[0].time.from + 2'300;
     EXPECT_EQ(broken(), promises{promise::answer_in_time});
-    record_.disturbances.push_back({0, {1'000, 2'000}});
+    record_.disturbances.push_back({0, {1'000, 2'000}, {}});
     EXPECT_EQ(broken(), promises{});
 }
 
--- a/soak/injector.cpp
+++ b/soak/injector.cpp
@@ -72,9 +72,10 @@
     }
 }
 
-void injector::disturb(std::size_t node, double until)
+void injector::disturb(std::size_t node, double until, double cut_off_until)
 {
-    record_.disturbances.push_back({node, {elapsed(), until + aftermath_ms}});
+    const double now = elapsed();
+    record_.disturbances.push_back({node, {now, until + aftermath_ms}, {now, cut_off_until}});
 }
 
 void injector::apply(const planned_fault& fault)
@@ -127,7 +128,7 @@
         stop_node(index, fault.duration.count());
         return;
     }
-    disturb(index, end);
+    disturb(index, end, end);
     const bool kills = fault.kind == fault_kind::kill_node;
     if (kills) {
         all_.node(index).node->kill();
@@ -142,7 +143,7 @@
         else {
             all_.node(index).node->signal(SIGCONT);
         }
-        disturb(index, elapsed());
+        disturb(index, elapsed(), elapsed());
         node_busy_[index] = false;
     });
 }
@@ -168,14 +169,14 @@
     stop.time.to = elapsed();
     stop.exit_status = all_.node(index).node->wait();
     for (const disturbance_record& each : record_.disturbances) {
-        stop.disturbed |= each.node == index && each.time.meets(stop.time);
+        stop.disturbed |= each.node == index && each.callers_cut_off.meets(stop.time);
     }
     record_.disturbances.push_back(
-        {index, {stop.time.from, stop.time.to + restart_after + aftermath_ms}});
+        {index, {stop.time.from, stop.time.to + restart_after + aftermath_ms}, {}});
     at(stop.time.to + restart_after, [this, index, record] {
         record_.stops[record].restart = elapsed();
         all_.start_node(index);
-        disturb(index, elapsed());
+        disturb(index, elapsed(), elapsed());
         node_busy_[index] = false;
     });
 }
@@ -188,7 +189,7 @@
     }
     upstream_busy_[index] = true;
     const double end = elapsed() + fault.duration.count();
-    disturb(index, end);
+    disturb(index, end, elapsed());
     const auto set = [this, index](const nlohmann::json& behaviour) {
         const auto client = make_http_client();
         testing::exchange(*client, all_.node(index).upstream_port,
@@ -245,7 +246,9 @@
         link = which.store_link;
     }
     const double end = elapsed() + fault.duration.count();
-    disturb(fault.node, end);
+    // Connections that a fault has frozen stay silent after it.
+    const bool of_callers = fault.kind == fault_kind::caller_link;
+    disturb(fault.node, end, of_callers ? end + aftermath_ms : elapsed());
     link->set_faults(link_faults(fault));
     at(end, [link] { link->set_faults({}); });
 }
@@ -254,7 +257,7 @@
 {
     datagram_relay* link = all_.node(fault.node).gossip_link;
     const double end = elapsed() + fault.duration.count();
-    disturb(fault.node, end);
+    disturb(fault.node, end, elapsed());
     datagram_faults faults;
     if (fault.kind == fault_kind::gossip_delay) {
         faults.delay = milliseconds{static_cast<double>(50 + fault.variant % 500)};
--- a/soak/injector.h
+++ b/soak/injector.h
@@ -40,7 +40,8 @@
     void stop_node(std::size_t index, double restart_after);
     void poll_stop(std::size_t index, std::size_t record, double restart_after);
     void publish();
-    void disturb(std::size_t node, double until);
+    /// Callers may be cut off until the second time.
+    void disturb(std::size_t node, double until, double cut_off_until);
     double elapsed() const { return (ms_clock::now() - start_).count(); }
 
     deployment& all_;
--- a/soak/records.h
+++ b/soak/records.h
@@ -56,7 +56,10 @@
 /// Time in which something was done to a node, to its upstream or to one of its links.
 struct disturbance_record {
     std::size_t node = 0;
+    /// With the time after it in which connections and tables are made good.
     interval time;
+    /// The part in which callers of the node may go without an answer.
+    interval callers_cut_off;
 };
 
 /// A planned stop of a node, from the signal to the end of the process.
