End relayed connections when they are cut, not with the next piece of data

A cut shuts the open connections down for reading, but the kernel still hands over what arrives after that, so that a request on a kept connection could pass; such a cut was also not counted.

--- a/tests/fault_proxy/relay.cpp
+++ b/tests/fault_proxy/relay.cpp
@@ -165,7 +165,8 @@
     std::array<char, piece_bytes> buffer{};
     while (true) {
         const auto size = ::recv(from, buffer.data(), buffer.size(), 0);
-        if (size <= 0) {
+        // What arrives after the shutdown can still be read.
+        if (size <= 0 || which->aborted) {
             break;
         }
         if (!pass_on(*which, response, {buffer.data(), static_cast<std::size_t>(size)})) {
@@ -259,6 +260,7 @@
     }
     if (faults.mode == fault_mode::cut) {
         for (const auto& each : open) {
+            count_fault();
             each->abort();
         }
     }
