--- a/soak/injector.cpp
+++ b/soak/injector.cpp
@@ -70,6 +70,10 @@
         actions_.pop();
         next();
     }
+    for (std::thread& each : waiters_) {
+        each.join();
+    }
+    waiters_.clear();
 }
 
 void injector::disturb(std::size_t node, double until, double cut_off_until)
@@ -155,18 +159,26 @@
     stop.time.from = elapsed();
     record_.stops.push_back(stop);
     all_.node(index).node->signal(SIGTERM);
-    poll_stop(index, record_.stops.size() - 1, restart_after);
+    // A thread of its own sees the end at once, while other faults keep this one busy.
+    const auto ended = std::make_shared<std::atomic<double>>(0.0);
+    waiters_.emplace_back([this, ended, process = all_.node(index).node.get()] {
+        process->wait();
+        *ended = elapsed();
+    });
+    poll_stop(index, record_.stops.size() - 1, ended, restart_after);
 }
 
-void injector::poll_stop(std::size_t index, std::size_t record, double restart_after)
+void injector::poll_stop(std::size_t index, std::size_t record, const end_time& ended,
+                         double restart_after)
 {
-    if (all_.node(index).node->running()) {
-        at(elapsed() + stop_poll_ms,
-           [this, index, record, restart_after] { poll_stop(index, record, restart_after); });
+    if (*ended == 0.0) {
+        at(elapsed() + stop_poll_ms, [this, index, record, ended, restart_after] {
+            poll_stop(index, record, ended, restart_after);
+        });
         return;
     }
     stop_record& stop = record_.stops[record];
-    stop.time.to = elapsed();
+    stop.time.to = *ended;
     stop.exit_status = all_.node(index).node->wait();
     for (const disturbance_record& each : record_.disturbances) {
         stop.disturbed |= each.node == index && each.callers_cut_off.meets(stop.time);
--- a/soak/injector.h
+++ b/soak/injector.h
@@ -4,8 +4,11 @@
 #include "fault_plan.h"
 #include "records.h"
 
+#include <atomic>
 #include <functional>
+#include <memory>
 #include <queue>
+#include <thread>
 #include <vector>
 
 namespace chestnutstand::soak {
@@ -29,6 +32,9 @@
         }
     };
 
+    /// When a process has ended; 0 while it runs.
+    using end_time = std::shared_ptr<std::atomic<double>>;
+
     void at(double due, std::function<void()> run);
     void apply(const planned_fault& fault);
     /// Each applies one kind and plans its end.
@@ -38,7 +44,8 @@
     void apply_to_gossip(const planned_fault& fault);
     void pause_store(const planned_fault& fault);
     void stop_node(std::size_t index, double restart_after);
-    void poll_stop(std::size_t index, std::size_t record, double restart_after);
+    void poll_stop(std::size_t index, std::size_t record, const end_time& ended,
+                   double restart_after);
     void publish();
     /// Callers may be cut off until the second time.
     void disturb(std::size_t node, double until, double cut_off_until);
@@ -53,6 +60,8 @@
     std::vector<bool> node_busy_;
     std::vector<bool> upstream_busy_;
     bool store_busy_ = false;
+    /// Each waits for the end of a process that is to stop.
+    std::vector<std::thread> waiters_;
     std::uint64_t version_ = 0;
 };
 
