--- /dev/null
+++ b/lib/node/attempt_result.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "chestnutstand/transport/call.h"
+
+namespace chestnutstand {
+
+// What the end of one attempt means for the next.
+
+/// Whether the attempt may have caused further calls by its upstream. Every refusal but the
+/// upstream's own comes before the upstream sees the call.
+inline bool reached_upstream(const call_result& result)
+{
+    return result.outcome != outcome::not_run || result.why == reason::upstream_refused;
+}
+
+inline bool refused_by_queue(const call_result& result)
+{
+    return result.outcome == outcome::not_run &&
+           (result.why == reason::queue_full || result.why == reason::queue_timeout ||
+            result.why == reason::deadline_unmeetable);
+}
+
+/// Whether a complete response says that another attempt may do better.
+inline bool transient_failure(const http_response& response)
+{
+    return response.status == 502 || response.status == 503 || response.status == 504;
+}
+
+} // namespace chestnutstand
--- a/lib/node/dispatcher.cpp
+++ b/lib/node/dispatcher.cpp
@@ -1,5 +1,6 @@
 #include "chestnutstand/node/dispatcher.h"
 
+#include "attempt_result.h"
 #include "dispatched_call.h"
 
 #include "chestnutstand/keys/attempt_ledger.h"
@@ -36,26 +37,6 @@
     return found == entries.end() ? nullptr : &*found;
 }
 
-/// Whether the attempt may have caused further calls by its upstream. Every refusal but the
-/// upstream's own comes before the upstream sees the call.
-bool reached_upstream(const call_result& result)
-{
-    return result.outcome != outcome::not_run || result.why == reason::upstream_refused;
-}
-
-bool refused_by_queue(const call_result& result)
-{
-    return result.outcome == outcome::not_run &&
-           (result.why == reason::queue_full || result.why == reason::queue_timeout ||
-            result.why == reason::deadline_unmeetable);
-}
-
-/// Whether a complete response says that another attempt may do better.
-bool transient_failure(const http_response& response)
-{
-    return response.status == 502 || response.status == 503 || response.status == 504;
-}
-
 /// Whether the result ends the call, so that no attempt can do better.
 bool is_final(const dispatched_call& running, const call_result& result)
 {
--- a/soak/checks_test.cpp
+++ b/soak/checks_test.cpp
@@ -33,6 +33,15 @@
         return made;
     }
 
+    void lose_call_to_stopped_node(const interval& time)
+    {
+        auto lost = call("lost", true, 0);
+        lost.node = record_.stops[0].node;
+        lost.time = time;
+        lost.error = http_error::connection_lost;
+        record_.calls.push_back(lost);
+    }
+
     std::vector<promise> broken() const
     {
         std::vector<promise> result;
@@ -85,11 +94,7 @@
 // Guards against a check that overlooks calls which a planned stop cuts off.
 TEST_F(soak_checks, find_a_call_lost_by_a_planned_stop)
 {
-    auto lost = call("lost", true, 0);
-    lost.node = 2;
-    lost.time = {10'500, 10'900};
-    lost.error = http_error::connection_lost;
-    record_.calls.push_back(lost);
+    lose_call_to_stopped_node({10'500, 10'900});
     EXPECT_EQ(broken(), promises{promise::graceful_stop});
     record_.stops[0].disturbed = true;
     EXPECT_EQ(broken(), promises{});
@@ -98,11 +103,7 @@
 // Guards against a check that overlooks a process which ends at once.
 TEST_F(soak_checks, find_a_call_lost_by_a_stop_that_takes_no_time)
 {
-    auto lost = call("lost", true, 0);
-    lost.node = 2;
-    lost.time = {9'990, 10'002};
-    lost.error = http_error::connection_lost;
-    record_.calls.push_back(lost);
+    lose_call_to_stopped_node({9'990, 10'002});
     record_.stops[0].time.to = 10'005;
     EXPECT_EQ(broken(), promises{promise::graceful_stop});
 }
