--- a/tests/integration/routed_path_test.cpp
+++ b/tests/integration/routed_path_test.cpp
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <atomic>
 #include <csignal>
 #include <fstream>
@@ -104,6 +105,29 @@
     EXPECT_EQ(stopping.node->wait(), 0);
 }
 
+// Guards against nodes that wait for lost responses of the store and miss a change of the document.
+TEST_F(routed_path, follows_changes_after_the_store_lost_all_waiting_reads)
+{
+    constexpr std::chrono::milliseconds stable_window{3'000};
+    constexpr milliseconds change_limit{2'000};
+    write_document(1, "/view/");
+    fleet_.add("east", "alpha");
+    fleet_.add("east", "");
+    fleet_.add("west", "");
+    const auto all_return = [&](const std::string& target, int status) {
+        return std::all_of(
+            fleet_.members().begin(), fleet_.members().end(),
+            [&](const auto& member) { return get_status(*member, target) == status; });
+    };
+    ASSERT_TRUE(eventually([&] { return all_return("/view/1", 200); }));
+    ASSERT_EQ(exchange(fleet_.client(), store_port_, {"PUT", "/control/lose_reads", {}, ""})
+                  .response.status,
+              200);
+    std::this_thread::sleep_for(stable_window);
+    write_document(2, "/other/");
+    EXPECT_TRUE(eventually([&] { return all_return("/other/1", 200); }, change_limit));
+}
+
 // Guards against requests that fail while a changed settings file is reloaded.
 TEST_F(routed_path, serves_while_its_settings_are_reloaded)
 {
--- a/tests/stub_store/stub_store.cpp
+++ b/tests/stub_store/stub_store.cpp
@@ -1,5 +1,6 @@
 // Stub of the platform's metadata store that implements its published protocol: keyed topics with
-// one partition. Keeps everything in memory. PUT /control/document writes the operator's record.
+// one partition. Keeps everything in memory. PUT /control/document writes the operator's record,
+// PUT /control/lose_reads leaves all waiting reads without a response, on open connections.
 
 #include "../support/stub_main.h"
 
@@ -13,6 +14,7 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <iterator>
 #include <map>
 #include <mutex>
 #include <string>
@@ -75,6 +77,12 @@
             append("keyed.op", platform::encode_record("config", request.body));
             response->send({200, {}, ""});
         }
+        else if (request.target == "/control/lose_reads") {
+            std::move(waiting_reads_.begin(), waiting_reads_.end(),
+                      std::back_inserter(lost_reads_));
+            waiting_reads_.clear();
+            response->send({200, {}, ""});
+        }
         else {
             response->send({404, {}, ""});
         }
@@ -156,6 +164,8 @@
     std::mutex mutex_;
     std::map<std::string, std::vector<stored_record>> topics_;
     std::vector<waiting_read> waiting_reads_;
+    /// Kept because the server closes the connection of a responder that is destroyed.
+    std::vector<waiting_read> lost_reads_;
     control_loop loop_;
 };
 
