Tell a lost response of the document store from an unchanged document

Change: a counter of reads by their end, a log line for each read without a response, with the time since the last response, and both times on /status (document_source).

--- a/include/chestnutstand/config/config_service.h
+++ b/include/chestnutstand/config/config_service.h
@@ -74,6 +74,7 @@
     /// Sets whether this node polls the log continuously.
     void set_tailing(bool tailing) override { tailing_ = tailing; }
     std::size_t wanted_readers() const override;
+    source_progress progress() const override;
 
     /// Reports that a peer has replayed all records before next_offset; those that are missing here
     /// are fetched from it.
--- a/include/chestnutstand/config/configuration.h
+++ b/include/chestnutstand/config/configuration.h
@@ -1,14 +1,24 @@
 #pragma once
 
 #include "chestnutstand/config/document.h"
+#include "chestnutstand/support/clock.h"
 #include "chestnutstand/support/snapshot.h"
 #include "chestnutstand/transport/peer_client.h"
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 
 namespace chestnutstand {
 
+/// Tells a source without changes from one whose responses are lost.
+struct source_progress {
+    /// Last response of the source; nullopt before the first one.
+    std::optional<time_point> answered_at;
+    /// Start of the read that waits for a response; nullopt if there is none.
+    std::optional<time_point> waiting_since;
+};
+
 /// Keeps the configuration document up to date from a source that all nodes share, and serves it to
 /// peers, so that nodes that cannot reach the source get updates too. A position is a number that
 /// grows with every update of the document. All methods except current() are called on the control
@@ -34,6 +44,8 @@
     /// Number of nodes per data centre that should read the source continuously.
     virtual std::size_t wanted_readers() const = 0;
 
+    virtual source_progress progress() const = 0;
+
     /// Reports that a peer has advanced to a position; when that is ahead of this node, the changes
     /// are fetched from the peer.
     virtual void hint(const node_reference& peer, std::uint64_t position) = 0;
--- a/include/chestnutstand/config/record_follower.h
+++ b/include/chestnutstand/config/record_follower.h
@@ -3,6 +3,8 @@
 #include "chestnutstand/config/configuration.h"
 #include "chestnutstand/config/keyed_store.h"
 #include "chestnutstand/support/control_loop.h"
+#include "chestnutstand/support/metrics.h"
+#include "chestnutstand/support/name_table.h"
 
 #include <absl/status/status.h>
 
@@ -28,6 +30,11 @@
     milliseconds max_backoff{2'000};
 };
 
+/// How a read of the store ended.
+enum class read_end : std::uint8_t { changed, unchanged, failed };
+
+inline constexpr name_table<read_end, 3> read_end_names{{"changed", "unchanged", "failed"}};
+
 /// Follows a document that its operator keeps whole in one record of the store. Every node reads
 /// the newest record at the start; after that a node that tails issues one long poll after the
 /// other, and all other nodes fetch newer documents from peers. The position of a document is its
@@ -36,7 +43,7 @@
 class record_follower final : public configuration {
 public:
     record_follower(record_follower_options options, control_loop& loop, keyed_store& store,
-                    peer_client& peers);
+                    peer_client& peers, metrics& stats);
     ~record_follower() override;
 
     void start() override;
@@ -44,6 +51,7 @@
     void on_advance(std::function<void(std::uint64_t position)> listener) override;
     void set_tailing(bool tailing) override;
     std::size_t wanted_readers() const override;
+    source_progress progress() const override { return progress_; }
     void hint(const node_reference& peer, std::uint64_t position) override;
     fetched_changes handle_fetch(std::uint64_t position) const override;
 
@@ -52,6 +60,8 @@
     void finish_read(const absl::StatusOr<keyed_page>& page);
     void schedule_read(milliseconds delay);
     void update_store_state(const absl::Status& status);
+    void count_read(read_end end);
+    void log_failed_read(const absl::Status& status, time_point started) const;
     bool apply(const std::string& text, const char* source);
     void fetch();
     void finish_fetch(const node_reference& peer, const absl::StatusOr<fetched_changes>& changes);
@@ -65,6 +75,7 @@
     control_loop& loop_;
     keyed_store& store_;
     peer_client& peers_;
+    metrics& stats_;
     std::mt19937_64 random_;
     snapshot<document> current_;
     std::uint64_t version_ = 0;
@@ -73,6 +84,7 @@
     std::vector<std::function<void(std::uint64_t)>> listeners_;
     bool tailing_ = false;
     bool reading_ = false;
+    source_progress progress_;
     /// Offset of the next long poll; nothing when the newest record has to be read first.
     std::optional<std::uint64_t> next_offset_;
     milliseconds backoff_{0};
--- a/lib/config/config_service.cpp
+++ b/lib/config/config_service.cpp
@@ -82,6 +82,11 @@
     return log_readers_per_data_centre;
 }
 
+source_progress config_service::progress() const
+{
+    return tail_->progress();
+}
+
 void config_service::poll()
 {
     if (!tail_->is_reading() && needs_log_read()) {
--- a/lib/config/log_tail.cpp
+++ b/lib/config/log_tail.cpp
@@ -52,6 +52,7 @@
 void log_tail::start()
 {
     reading_ = true;
+    progress_.waiting_since = ms_clock::now();
     active_ = std::move(waiting_);
     waiting_.clear();
     read_next();
@@ -182,6 +183,10 @@
     }
     search_.reset();
     reading_ = false;
+    progress_.waiting_since.reset();
+    if (status.ok()) {
+        progress_.answered_at = ms_clock::now();
+    }
     const auto done = std::move(active_);
     active_.clear();
     for (const auto& callback : done) {
--- a/lib/config/log_tail.h
+++ b/lib/config/log_tail.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "chestnutstand/config/change_replay.h"
+#include "chestnutstand/config/configuration.h"
 #include "chestnutstand/config/log_client.h"
 #include "chestnutstand/support/control_loop.h"
 
@@ -36,6 +37,7 @@
     void catch_up(catch_up_done done);
 
     bool is_reading() const { return reading_; }
+    source_progress progress() const { return progress_; }
 
 private:
     struct checkpoint_search;
@@ -64,6 +66,7 @@
     std::uint32_t limit_;
     bool reading_ = false;
     bool failing_ = false;
+    source_progress progress_;
 };
 
 } // namespace chestnutstand
--- a/lib/config/record_follower.cpp
+++ b/lib/config/record_follower.cpp
@@ -2,6 +2,7 @@
 
 #include "chestnutstand/config/document_parser.h"
 #include "chestnutstand/support/log.h"
+#include "chestnutstand/support/str_cat.h"
 
 #include <algorithm>
 #include <utility>
@@ -17,8 +18,9 @@
 } // namespace
 
 record_follower::record_follower(record_follower_options options, control_loop& loop,
-                                 keyed_store& store, peer_client& peers)
-    : options_{options}, loop_{loop}, store_{store}, peers_{peers}, random_{options_.random_seed}
+                                 keyed_store& store, peer_client& peers, metrics& stats)
+    : options_{options}, loop_{loop}, store_{store}, peers_{peers}, stats_{stats},
+      random_{options_.random_seed}
 {
 }
 
@@ -54,6 +56,7 @@
         return;
     }
     reading_ = true;
+    progress_.waiting_since = ms_clock::now();
     auto done = [this](absl::StatusOr<keyed_page> page) {
         loop_.post([this, page = std::move(page)] { finish_read(page); });
     };
@@ -67,8 +70,11 @@
 void record_follower::finish_read(const absl::StatusOr<keyed_page>& page)
 {
     reading_ = false;
+    const time_point started = *std::exchange(progress_.waiting_since, std::nullopt);
     update_store_state(page.status());
     if (!page.ok()) {
+        count_read(read_end::failed);
+        log_failed_read(page.status(), started);
         // The store may no longer have the records from this offset on. The newest record suffices.
         next_offset_.reset();
         backoff_ = std::clamp(backoff_ * 2.0, options_.initial_backoff, options_.max_backoff);
@@ -80,6 +86,8 @@
     backoff_ = milliseconds{0};
     peer_fetch_failed_ = false;
     next_offset_ = page->next;
+    progress_.answered_at = ms_clock::now();
+    count_read(page->records.empty() ? read_end::unchanged : read_end::changed);
     for (const auto& record : page->records) {
         apply(record.value, "store");
     }
@@ -103,6 +111,26 @@
               {{"status", status.ToString()}, {"version", version_}});
 }
 
+void record_follower::count_read(read_end end)
+{
+    ++stats_.counter(
+        str_cat("chestnutstand_document_reads_total{end=\"", read_end_names.name(end), "\"}"));
+}
+
+// A node whose reads are lost and a node whose document does not change differ in the time since
+// the last response.
+void record_follower::log_failed_read(const absl::Status& status, time_point started) const
+{
+    const time_point now = ms_clock::now();
+    const time_point answered = progress_.answered_at.value_or(started);
+    log_event(log_level::warning, "document read failed",
+              {{"status", status.ToString()},
+               {"waited_ms", (now - started).count()},
+               {"silent_ms", (now - answered).count()},
+               {"offset", next_offset_.value_or(0)},
+               {"version", version_}});
+}
+
 /// Returns whether the record brought a new document into force.
 bool record_follower::apply(const std::string& text, const char* source)
 {
--- a/lib/node/admin_api.cpp
+++ b/lib/node/admin_api.cpp
@@ -132,6 +132,16 @@
             {"draining", node_member.draining}};
 }
 
+json describe(const source_progress& progress)
+{
+    const time_point now = ms_clock::now();
+    const auto elapsed = [now](const std::optional<time_point>& since) {
+        return since ? json((now - *since).count()) : json(nullptr);
+    };
+    return {{"answered_ms_ago", elapsed(progress.answered_at)},
+            {"waiting_ms", elapsed(progress.waiting_since)}};
+}
+
 json describe(const load_report& load)
 {
     json queues = json::object();
@@ -304,6 +314,7 @@
                     {"gossip", own_ports.gossip}}}};
         const auto active_document = node_.get<configuration>().current().load();
         body["config_version"] = active_document ? json(active_document->version) : json(nullptr);
+        body["document_source"] = describe(node_.get<configuration>().progress());
         const auto upstream = node_.get<executor>().upstream();
         body["upstream"] = upstream ? json{{"service", upstream->service},
                                            {"url", upstream->base_url},
--- a/lib/node/components/config_component.cpp
+++ b/lib/node/components/config_component.cpp
@@ -34,7 +34,8 @@
     {
         record_follower_options options;
         options.random_seed = node.instance();
-        source_ = std::make_unique<record_follower>(options, node.control(), store, node.peers());
+        source_ = std::make_unique<record_follower>(options, node.control(), store, node.peers(),
+                                                    node.stats());
     }
 
     void replay_changes(kernel& node)
--- a/unittests/config/record_follower_test.cpp
+++ b/unittests/config/record_follower_test.cpp
@@ -78,7 +78,7 @@
         record_follower_options options;
         options.initial_backoff = milliseconds{1};
         options.max_backoff = milliseconds{1};
-        follower_ = std::make_unique<record_follower>(options, loop_, store_, peers_);
+        follower_ = std::make_unique<record_follower>(options, loop_, store_, peers_, stats_);
         loop_.post([this] {
             follower_->set_tailing(true);
             follower_->start();
@@ -121,6 +121,7 @@
 
     fake_store store_;
     fake_peers peers_;
+    metrics stats_;
     control_loop loop_;
     std::unique_ptr<record_follower> follower_;
 };
@@ -177,6 +178,29 @@
     });
 }
 
+// Guards against a store whose responses are lost and that looks like one without changes.
+TEST_F(record_follower_test, tells_a_lost_response_from_an_unchanged_document)
+{
+    const auto count = [this](const char* end) {
+        return stats_.counter(str_cat("chestnutstand_document_reads_total{end=\"", end, "\"}"))
+            .load();
+    };
+    complete_newest_read(3, 5);
+    auto follow = store_.next();
+    follow.done(keyed_page{{}, 5});
+    follow = store_.next();
+    std::optional<time_point> answered;
+    on_control([&] { answered = follower_->progress().answered_at; });
+    EXPECT_EQ(count("unchanged"), 1U);
+    follow.done(absl::DeadlineExceededError("no response"));
+    store_.next();
+    on_control([&] {
+        EXPECT_EQ(follower_->progress().answered_at, answered);
+        EXPECT_TRUE(follower_->progress().waiting_since);
+    });
+    EXPECT_EQ(count("failed"), 1U);
+}
+
 // Guards against a load on the store that grows with the number of nodes, because every node reads
 // every change from it.
 TEST_F(record_follower_test, leaves_the_store_to_the_readers)
