Notice lost long polls of the document store within two seconds

Cause: readers waited 20 s in one long poll, and its lost response was noticed only at that time limit, while a change has to be in force within 2 s. All readers can be affected at once, so more readers do not help. The class: a wait on a remote party that is longer than the promise that depends on it.

Change: the lowest instance of each data centre is the lead reader, with long polls of 1 s and 0.5 s to answer. A standby keeps its long poll, and replaces it when a peer has a document that the poll has not returned after 0.5 s, when the announcing peer cannot be asked, and when it becomes the lead. A response to a replaced read still counts. Backoff of the lead is at most 1 s.

--- a/include/chestnutstand/config/config_service.h
+++ b/include/chestnutstand/config/config_service.h
@@ -71,8 +71,8 @@
     /// Adds a listener that is called whenever records have been applied.
     void on_advance(std::function<void(std::uint64_t next_offset)> listener) override;
 
-    /// Sets whether this node polls the log continuously.
-    void set_tailing(bool tailing) override { tailing_ = tailing; }
+    /// Lead and standby poll the log alike; a lost response is noticed by its timeout.
+    void set_reader_role(reader_role role) override { tailing_ = role != reader_role::none; }
     std::size_t wanted_readers() const override;
     source_progress progress() const override;
 
--- a/include/chestnutstand/config/configuration.h
+++ b/include/chestnutstand/config/configuration.h
@@ -11,6 +11,15 @@
 
 namespace chestnutstand {
 
+/// How a node reads the source of the document.
+enum class reader_role : std::uint8_t {
+    none,    ///< Takes changes from peers only.
+    standby, ///< Reads continuously, with few requests; a lost response may delay a change for
+             ///< long.
+    lead,    ///< Reads continuously and notices a lost response within the time that a change may
+             ///< take to come into force.
+};
+
 /// Tells a source without changes from one whose responses are lost.
 struct source_progress {
     /// Last response of the source; nullopt before the first one.
@@ -38,10 +47,9 @@
     /// Adds a listener that is called whenever the position has advanced.
     virtual void on_advance(std::function<void(std::uint64_t position)> listener) = 0;
 
-    /// Sets whether this node reads the source continuously.
-    virtual void set_tailing(bool tailing) = 0;
+    virtual void set_reader_role(reader_role role) = 0;
 
-    /// Number of nodes per data centre that should read the source continuously.
+    /// Number of nodes per data centre that should read the source continuously, the lead included.
     virtual std::size_t wanted_readers() const = 0;
 
     virtual source_progress progress() const = 0;
--- a/include/chestnutstand/config/record_follower.h
+++ b/include/chestnutstand/config/record_follower.h
@@ -15,31 +15,47 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace chestnutstand {
 
 struct record_follower_options {
     std::uint64_t random_seed = 0;
-    /// Time limit of one long poll of the store.
-    milliseconds read_wait{20'000};
+    /// Waiting time of one long poll of a lead. With the time that the store's client adds to it, a
+    /// lost response is noticed within 2 s, in which a change has to come into force.
+    milliseconds lead_read_wait{1'000};
+    /// Waiting time of one long poll of a standby.
+    milliseconds standby_read_wait{20'000};
+    /// Time that the store gets to answer a waiting read with a record that a peer already has.
+    milliseconds lost_read_grace{500};
     /// Time limit of one fetch from a peer.
     milliseconds fetch_timeout{500};
-    /// Delay after a failed read; doubled with each further failure, up to max_backoff.
+    /// Delay after a failed read; doubled with each further failure, up to the limit of the role.
     milliseconds initial_backoff{250};
-    milliseconds max_backoff{2'000};
+    milliseconds max_lead_backoff{1'000};
+    milliseconds max_standby_backoff{2'000};
 };
 
 /// How a read of the store ended.
-enum class read_end : std::uint8_t { changed, unchanged, failed };
+enum class read_end : std::uint8_t {
+    changed,
+    unchanged,
+    failed,
+    abandoned, ///< Replaced by another read because its response is overdue or its wait too long.
+};
 
-inline constexpr name_table<read_end, 3> read_end_names{{"changed", "unchanged", "failed"}};
+inline constexpr name_table<read_end, 4> read_end_names{
+    {"changed", "unchanged", "failed", "abandoned"}};
 
 /// Follows a document that its operator keeps whole in one record of the store. Every node reads
-/// the newest record at the start; after that a node that tails issues one long poll after the
-/// other, and all other nodes fetch newer documents from peers. The position of a document is its
-/// version. A record that is invalid, or whose version is not higher, leaves the document in force
-/// unchanged.
+/// the newest record at the start; after that the readers issue one long poll after the other, and
+/// all other nodes fetch newer documents from peers. The position of a document is its version. A
+/// record that is invalid, or whose version is not higher, leaves the document in force unchanged.
+///
+/// The response to a long poll can be lost on a connection that stays open, to all readers at once.
+/// The lead therefore uses short polls. A standby replaces its poll when a peer has a document that
+/// the poll should have returned.
 class record_follower final : public configuration {
 public:
     record_follower(record_follower_options options, control_loop& loop, keyed_store& store,
@@ -49,15 +65,21 @@
     void start() override;
     const snapshot<document>& current() const override { return current_; }
     void on_advance(std::function<void(std::uint64_t position)> listener) override;
-    void set_tailing(bool tailing) override;
+    void set_reader_role(reader_role role) override;
     std::size_t wanted_readers() const override;
     source_progress progress() const override { return progress_; }
     void hint(const node_reference& peer, std::uint64_t position) override;
     fetched_changes handle_fetch(std::uint64_t position) const override;
 
 private:
+    bool is_reader() const { return role_ != reader_role::none; }
     void read();
-    void finish_read(const absl::StatusOr<keyed_page>& page);
+    void finish_read(std::uint64_t number, const absl::StatusOr<keyed_page>& page);
+    void handle_failed_read(const absl::Status& status);
+    void apply_page(const keyed_page& page);
+    /// Replaces the waiting read if it does not end within the grace time.
+    void expect_response();
+    void replace_read(std::string_view reason);
     void schedule_read(milliseconds delay);
     void update_store_state(const absl::Status& status);
     void count_read(read_end end);
@@ -82,8 +104,10 @@
     /// Record of the document in force, for peers.
     std::string record_text_;
     std::vector<std::function<void(std::uint64_t)>> listeners_;
-    bool tailing_ = false;
+    reader_role role_ = reader_role::none;
     bool reading_ = false;
+    /// Identifies the read that waits for a response; those before it have ended or were replaced.
+    std::uint64_t read_number_ = 0;
     source_progress progress_;
     /// Offset of the next long poll; nothing when the newest record has to be read first.
     std::optional<std::uint64_t> next_offset_;
--- a/lib/config/record_follower.cpp
+++ b/lib/config/record_follower.cpp
@@ -41,57 +41,111 @@
     return readers_per_data_centre;
 }
 
-void record_follower::set_tailing(bool tailing)
+void record_follower::set_reader_role(reader_role role)
 {
-    tailing_ = tailing;
-    if (tailing_ && !reading_) {
+    const reader_role previous = std::exchange(role_, role);
+    if (!is_reader()) {
+        return;
+    }
+    if (!reading_) {
         read();
     }
+    else if (role == reader_role::lead && previous != reader_role::lead && next_offset_) {
+        replace_read("the node became the lead reader");
+    }
 }
 
 void record_follower::read()
 {
-    const bool needed = tailing_ || version_ == 0 || peer_fetch_failed_;
+    const bool needed = is_reader() || version_ == 0 || peer_fetch_failed_;
     if (reading_ || !needed) {
         return;
     }
     reading_ = true;
     progress_.waiting_since = ms_clock::now();
-    auto done = [this](absl::StatusOr<keyed_page> page) {
-        loop_.post([this, page = std::move(page)] { finish_read(page); });
+    auto done = [this, number = ++read_number_](absl::StatusOr<keyed_page> page) {
+        loop_.post([this, number, page = std::move(page)] { finish_read(number, page); });
     };
     if (next_offset_) {
-        store_.follow(store_topic::document, *next_offset_, options_.read_wait, std::move(done));
+        const bool is_standby = role_ == reader_role::standby;
+        store_.follow(store_topic::document, *next_offset_,
+                      is_standby ? options_.standby_read_wait : options_.lead_read_wait,
+                      std::move(done));
         return;
     }
     store_.newest(store_topic::document, std::move(done));
 }
 
-void record_follower::finish_read(const absl::StatusOr<keyed_page>& page)
+void record_follower::finish_read(std::uint64_t number, const absl::StatusOr<keyed_page>& page)
 {
+    if (number != read_number_) {
+        if (page.ok()) {
+            apply_page(*page);
+        }
+        return;
+    }
     reading_ = false;
-    const time_point started = *std::exchange(progress_.waiting_since, std::nullopt);
     update_store_state(page.status());
     if (!page.ok()) {
-        count_read(read_end::failed);
-        log_failed_read(page.status(), started);
-        // The store may no longer have the records from this offset on. The newest record suffices.
-        next_offset_.reset();
-        backoff_ = std::clamp(backoff_ * 2.0, options_.initial_backoff, options_.max_backoff);
-        std::uniform_real_distribution<double> jitter{0.5, 1.0};
-        const bool has_expired = absl::IsOutOfRange(page.status());
-        schedule_read(has_expired ? milliseconds{0} : backoff_ * jitter(random_));
+        handle_failed_read(page.status());
         return;
     }
+    progress_ = {ms_clock::now(), std::nullopt};
+    count_read(page->records.empty() ? read_end::unchanged : read_end::changed);
     backoff_ = milliseconds{0};
     peer_fetch_failed_ = false;
     next_offset_ = page->next;
-    progress_.answered_at = ms_clock::now();
-    count_read(page->records.empty() ? read_end::unchanged : read_end::changed);
-    for (const auto& record : page->records) {
+    apply_page(*page);
+    schedule_read(milliseconds{0});
+}
+
+void record_follower::handle_failed_read(const absl::Status& status)
+{
+    count_read(read_end::failed);
+    log_failed_read(status, *std::exchange(progress_.waiting_since, std::nullopt));
+    // The store may no longer have the records from this offset on. The newest record suffices.
+    next_offset_.reset();
+    if (absl::IsOutOfRange(status)) {
+        schedule_read(milliseconds{0});
+        return;
+    }
+    const bool is_standby = role_ == reader_role::standby;
+    backoff_ = std::clamp(backoff_ * 2.0, options_.initial_backoff,
+                          is_standby ? options_.max_standby_backoff : options_.max_lead_backoff);
+    std::uniform_real_distribution<double> jitter{0.5, 1.0};
+    schedule_read(backoff_ * jitter(random_));
+}
+
+void record_follower::apply_page(const keyed_page& page)
+{
+    for (const auto& record : page.records) {
         apply(record.value, "store");
     }
-    schedule_read(milliseconds{0});
+}
+
+void record_follower::expect_response()
+{
+    if (!reading_) {
+        return;
+    }
+    loop_.post_after(options_.lost_read_grace, [this, number = read_number_] {
+        if (reading_ && number == read_number_) {
+            replace_read("a peer announced a document that the read did not return");
+        }
+    });
+}
+
+void record_follower::replace_read(std::string_view reason)
+{
+    const time_point started = *std::exchange(progress_.waiting_since, std::nullopt);
+    count_read(read_end::abandoned);
+    log_event(log_level::info, "document read replaced",
+              {{"reason", std::string{reason}},
+               {"waited_ms", (ms_clock::now() - started).count()},
+               {"offset", next_offset_.value_or(0)},
+               {"version", version_}});
+    reading_ = false;
+    read();
 }
 
 void record_follower::schedule_read(milliseconds delay)
@@ -198,12 +252,17 @@
         log_event(log_level::warning, "document not fetched from a peer",
                   {{"peer", peer.address}, {"reason", changes.status().ToString()}});
         peer_fetch_failed_ = true;
+        expect_response();
         read();
     }
     else {
+        const std::uint64_t before = version_;
         for (const auto& record : changes->records) {
             apply(record.payload, "peer");
         }
+        if (version_ > before) {
+            expect_response();
+        }
     }
     fetch();
 }
--- a/lib/node/components/config_component.cpp
+++ b/lib/node/components/config_component.cpp
@@ -23,7 +23,7 @@
         }
         node.provide<configuration>(*source_);
         node.control().post([this] {
-            source_->set_tailing(true);
+            source_->set_reader_role(reader_role::lead);
             source_->start();
         });
         return absl::OkStatus();
--- a/lib/node/components/membership_component.cpp
+++ b/lib/node/components/membership_component.cpp
@@ -13,8 +13,8 @@
 namespace chestnutstand {
 namespace {
 
-/// Interval at which the node decides again whether it reads the source of the document.
-constexpr milliseconds tail_check_interval{250};
+/// Interval at which the node decides again how it reads the source of the document.
+constexpr milliseconds role_check_interval{250};
 /// Slightly longer than a probe period, in which a node receives at least the response to its own
 /// probe.
 constexpr milliseconds silence_limit{1'250};
@@ -81,14 +81,14 @@
         return std::make_shared<join_log>(node.control(), node.get<log_client>());
     }
 
-    /// Whether this node should read the document from its source all the time, which configuration
-    /// calls tailing. A few nodes per data centre do; the others learn of changes by gossip, or
-    /// read the source too while they receive no messages. When nodes disagree about which members
-    /// are alive, only the number of readers varies.
-    bool should_read_source(kernel& node) const
+    /// A few nodes per data centre read the source of the document, the lowest instance as the
+    /// lead. The others learn of changes by gossip, or read the source too while they receive no
+    /// messages. When nodes disagree about which members are alive, only the number of readers
+    /// varies.
+    reader_role choose_reader_role(kernel& node) const
     {
         if (members_->time_since_last_message() > silence_limit) {
-            return true;
+            return reader_role::lead;
         }
         std::size_t lower_instances = 0;
         for (const member& peer : members_->members()) {
@@ -96,13 +96,17 @@
                 is_live(peer) && peer.data_centre == node.config().data_centre;
             lower_instances += is_candidate && peer.node.instance < node.instance() ? 1 : 0;
         }
-        return lower_instances < node.get<configuration>().wanted_readers();
+        if (lower_instances == 0) {
+            return reader_role::lead;
+        }
+        return lower_instances < node.get<configuration>().wanted_readers() ? reader_role::standby
+                                                                            : reader_role::none;
     }
 
     void connect_configuration(kernel& node)
     {
-        node.control().repeat(tail_check_interval, [this, &node] {
-            node.get<configuration>().set_tailing(should_read_source(node));
+        node.control().repeat(role_check_interval, [this, &node] {
+            node.get<configuration>().set_reader_role(choose_reader_role(node));
         });
         auto& config = node.get<configuration>();
         config.on_advance([this](std::uint64_t next) { members_->set_config_next_offset(next); });
--- a/unittests/config/fakes.h
+++ b/unittests/config/fakes.h
@@ -186,7 +186,7 @@
     void tail()
     {
         on_loop([&] {
-            service_->set_tailing(true);
+            service_->set_reader_role(reader_role::lead);
             return true;
         });
     }
--- a/unittests/config/record_follower_test.cpp
+++ b/unittests/config/record_follower_test.cpp
@@ -25,14 +25,18 @@
     struct read {
         bool newest = false;
         std::uint64_t from = 0;
+        milliseconds wait{0};
         read_done done;
     };
 
     void put(store_topic, const std::string&, std::string, write_done) override {}
-    void newest(store_topic, read_done done) override { add({true, 0, std::move(done)}); }
-    void follow(store_topic, std::uint64_t from, milliseconds, read_done done) override
+    void newest(store_topic, read_done done) override
     {
-        add({false, from, std::move(done)});
+        add({true, 0, milliseconds{0}, std::move(done)});
+    }
+    void follow(store_topic, std::uint64_t from, milliseconds wait, read_done done) override
+    {
+        add({false, from, wait, std::move(done)});
     }
 
     std::size_t pending_reads()
@@ -77,10 +81,12 @@
     {
         record_follower_options options;
         options.initial_backoff = milliseconds{1};
-        options.max_backoff = milliseconds{1};
+        options.max_lead_backoff = milliseconds{1};
+        options.max_standby_backoff = milliseconds{1};
+        options.lost_read_grace = milliseconds{1};
         follower_ = std::make_unique<record_follower>(options, loop_, store_, peers_, stats_);
         loop_.post([this] {
-            follower_->set_tailing(true);
+            follower_->set_reader_role(reader_role::lead);
             follower_->start();
         });
     }
@@ -201,11 +207,62 @@
     EXPECT_EQ(count("failed"), 1U);
 }
 
+// Guards against a change that is noticed only when the long poll of a lost response times out.
+TEST_F(record_follower_test, lead_notices_a_lost_response_within_two_seconds)
+{
+    constexpr milliseconds change_limit{2'000};
+    complete_newest_read(3, 5);
+    EXPECT_LT(store_.next().wait, change_limit);
+}
+
+// Guards against a reader that misses further changes because the response to its long poll was
+// lost.
+TEST_F(record_follower_test, standby_replaces_a_read_that_missed_a_change)
+{
+    on_control([&] { follower_->set_reader_role(reader_role::standby); });
+    complete_newest_read(3, 5);
+    const auto lost = store_.next();
+    peers_.add(2, [](std::uint64_t, const peer_client::changes_done& done) {
+        done(fetched_changes{{{9, record_of(9)}}, false});
+    });
+    on_control([&] { follower_->hint({2, "127.0.0.1", 1}, 9); });
+    const auto replacement = store_.next();
+    EXPECT_EQ(replacement.from, lost.from);
+    EXPECT_EQ(version(), 9U);
+    lost.done(keyed_page{{{"k", record_of(10), 5}}, 6});
+    run_posted_tasks();
+    EXPECT_EQ(version(), 10U);
+    EXPECT_EQ(store_.pending_reads(), 0U);
+    replacement.done(keyed_page{{}, 8});
+    EXPECT_EQ(store_.next().from, 8U);
+}
+
+// Guards against a document that stays old because neither the announcing peer nor the waiting read
+// responds.
+TEST_F(record_follower_test, replaces_a_read_when_a_peer_cannot_be_asked)
+{
+    on_control([&] { follower_->set_reader_role(reader_role::standby); });
+    complete_newest_read(3, 5);
+    store_.next();
+    on_control([&] { follower_->hint({7, "127.0.0.1", 1}, 4); });
+    EXPECT_EQ(store_.next().from, 5U);
+}
+
+// Guards against a lead that waits for the end of the long poll that it began as a standby.
+TEST_F(record_follower_test, new_lead_replaces_its_long_poll)
+{
+    on_control([&] { follower_->set_reader_role(reader_role::standby); });
+    complete_newest_read(3, 5);
+    const auto long_poll = store_.next();
+    on_control([&] { follower_->set_reader_role(reader_role::lead); });
+    EXPECT_LT(store_.next().wait, long_poll.wait);
+}
+
 // Guards against a load on the store that grows with the number of nodes, because every node reads
 // every change from it.
 TEST_F(record_follower_test, leaves_the_store_to_the_readers)
 {
-    on_control([&] { follower_->set_tailing(false); });
+    on_control([&] { follower_->set_reader_role(reader_role::none); });
     complete_newest_read(3, 5);
     run_posted_tasks();
     EXPECT_EQ(version(), 3U);
@@ -216,7 +273,7 @@
 // reached.
 TEST_F(record_follower_test, reads_the_store_when_a_peer_cannot_be_asked)
 {
-    on_control([&] { follower_->set_tailing(false); });
+    on_control([&] { follower_->set_reader_role(reader_role::none); });
     complete_newest_read(3, 5);
     run_posted_tasks();
     on_control([&] { follower_->hint({7, "127.0.0.1", 1}, 4); });
