Delay reads of a store whose newest records have already expired

Cause: a store whose listing of the newest records is out of date leads a reader to an offset that has expired, which leads it back to the listing at once; the calls repeat as fast as the store answers and count against the limit that all nodes share. Change: only the first of such failures in a row is repeated at once, later ones with the usual backoff.

--- a/include/chestnutstand/config/record_follower.h
+++ b/include/chestnutstand/config/record_follower.h
@@ -108,6 +108,8 @@
     bool reading_ = false;
     /// Identifies the read that waits for a response; those before it have ended or were replaced.
     std::uint64_t read_number_ = 0;
+    /// The last read failed because the store no longer had the records.
+    bool records_expired_ = false;
     source_progress progress_;
     /// Offset of the next long poll; nothing when the newest record has to be read first.
     std::optional<std::uint64_t> next_offset_;
--- a/lib/config/record_follower.cpp
+++ b/lib/config/record_follower.cpp
@@ -94,6 +94,7 @@
     count_read(page->records.empty() ? read_end::unchanged : read_end::changed);
     backoff_ = milliseconds{0};
     peer_fetch_failed_ = false;
+    records_expired_ = records_expired_ && !next_offset_;
     next_offset_ = page->next;
     apply_page(*page);
     schedule_read(milliseconds{0});
@@ -105,7 +106,9 @@
     log_failed_read(status, *std::exchange(progress_.waiting_since, std::nullopt));
     // The store may no longer have the records from this offset on. The newest record suffices.
     next_offset_.reset();
-    if (absl::IsOutOfRange(status)) {
+    // A listing of the newest records that is out of date leads to expired records again.
+    const bool expired_again = std::exchange(records_expired_, absl::IsOutOfRange(status));
+    if (records_expired_ && !expired_again) {
         schedule_read(milliseconds{0});
         return;
     }
--- a/unittests/config/record_follower_test.cpp
+++ b/unittests/config/record_follower_test.cpp
@@ -258,6 +258,23 @@
     EXPECT_LT(store_.next().wait, long_poll.wait);
 }
 
+// Guards against a flood of calls while the store lists records that it has already dropped.
+TEST_F(record_follower_test, delays_reads_when_records_are_gone_again)
+{
+    const auto count_failures = [this] {
+        return stats_.counter("chestnutstand_document_reads_total{end=\"failed\"}").load();
+    };
+    complete_newest_read(3, 5);
+    store_.next().done(absl::OutOfRangeError("dropped"));
+    complete_newest_read(3, 5);
+    const time_point before = ms_clock::now();
+    store_.next().done(absl::OutOfRangeError("dropped"));
+    complete_newest_read(8, 20);
+    EXPECT_GE(ms_clock::now() - before, milliseconds{0.5});
+    EXPECT_EQ(store_.next().from, 20U);
+    EXPECT_EQ(count_failures(), 2U);
+}
+
 // Guards against a load on the store that grows with the number of nodes, because every node reads
 // every change from it.
 TEST_F(record_follower_test, leaves_the_store_to_the_readers)
