--- /dev/null
+++ b/unittests/platform/store_client_test.cpp
@@ -0,0 +1,102 @@
+#include "store_client.h"
+
+#include "store_codec.h"
+
+#include <gtest/gtest.h>
+
+#include <deque>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace chestnutstand::platform {
+namespace {
+
+/// Client whose requests are completed by the test.
+class fake_client final : public http_client {
+public:
+    struct exchange {
+        http_request request;
+        http_done done;
+    };
+
+    request_id send(const std::string& /*base_url*/, http_request request, milliseconds /*timeout*/,
+                    http_done done) override
+    {
+        sent.push_back({std::move(request), std::move(done)});
+        return sent.size();
+    }
+    void cancel(request_id /*id*/) override {}
+
+    exchange take()
+    {
+        exchange first = std::move(sent.front());
+        sent.pop_front();
+        return first;
+    }
+
+    std::deque<exchange> sent;
+};
+
+const http_result timeout_result{http_error::timed_out, {}, {}};
+const http_result empty_listing{
+    http_error::none, {200, {}, R"({"items": [], "EndOffset": 4, "HasMore": false})"}, {}};
+
+// Guards against a read that waits on a second silent connection after the first one failed.
+TEST(store_client, uses_a_new_connection_after_a_lost_response)
+{
+    fake_client http;
+    store_client store{http, "http://127.0.0.1:1"};
+    const auto read = [&] { store.newest(store_topic::document, [](const auto& /*page*/) {}); };
+    read();
+    auto first = http.take();
+    EXPECT_FALSE(first.request.fresh_connection);
+    first.done(timeout_result);
+    read();
+    auto second = http.take();
+    EXPECT_TRUE(second.request.fresh_connection);
+    second.done(empty_listing);
+    read();
+    EXPECT_FALSE(http.take().request.fresh_connection);
+}
+
+// Guards against a document that is taken from a response that ends within a record.
+TEST(store_client, fails_a_read_whose_response_is_cut_off)
+{
+    fake_client http;
+    store_client store{http, "http://127.0.0.1:1"};
+    const std::string offsets(15, '\0');
+    const std::string record = encode_record("config", R"({"version": 7})");
+    absl::Status status;
+    store.follow(store_topic::document, 0, milliseconds{1},
+                 [&](const auto& page) { status = page.status(); });
+    http.take().done(
+        {http_error::none, {200, {}, offsets + "\1" + record.substr(0, record.size() - 1)}, {}});
+    EXPECT_FALSE(status.ok());
+}
+
+// Guards against a document that is taken from a record of another key in the operator's topic.
+TEST(store_client, takes_the_document_from_its_own_key_only)
+{
+    fake_client http;
+    store_client store{http, "http://127.0.0.1:1"};
+    const std::string offsets(16, '\0');
+    std::vector<std::string> values;
+    store.follow(store_topic::document, 0, milliseconds{1}, [&](const auto& page) {
+        ASSERT_TRUE(page.ok());
+        for (const auto& record : page->records) {
+            values.push_back(record.value);
+        }
+        EXPECT_EQ(page->next, 3U);
+    });
+    http.take().done({http_error::none,
+                      {200,
+                       {},
+                       offsets + encode_record("other", "1") + encode_record("config", "2") +
+                           encode_record("confi", "g3")},
+                      {}});
+    EXPECT_EQ(values, std::vector<std::string>{"2"});
+}
+
+} // namespace
+} // namespace chestnutstand::platform
