Log what an upstream says of itself in its responses

Neither the logs nor the metrics showed that. Change: header names upstream_rate_limit and upstream_leaving in the settings; the executor reads both from responses that belong to the call and to the process that it was sent to, keeps them per process, and logs changes; each executed call logs the limit in force.

--- a/include/chestnutstand/node/executor.h
+++ b/include/chestnutstand/node/executor.h
@@ -3,6 +3,7 @@
 #include "chestnutstand/admission/admission_queue.h"
 #include "chestnutstand/admission/load_prober.h"
 #include "chestnutstand/admission/upstream_slowdown.h"
+#include "chestnutstand/admission/upstream_statement.h"
 #include "chestnutstand/config/document.h"
 #include "chestnutstand/keys/attempt_ledger.h"
 #include "chestnutstand/keys/executor_keys.h"
@@ -30,6 +31,8 @@
     std::uint32_t slots = 0;
     /// Identifies the upstream process; empty when the upstream registered without an id.
     std::string id;
+    /// Unix time in milliseconds at which the process started; 0 when unknown.
+    std::uint64_t born_ms = 0;
 
     friend bool operator==(const local_upstream&, const local_upstream&) = default;
 };
@@ -82,10 +85,11 @@
         call_done done;
         /// Set for a call with an idempotency key; executor_keys then holds the callbacks.
         std::optional<key_id> key;
-        std::string base_url;
-        std::string upstream_id;
+        local_upstream upstream;
         time_point offered_at;
         time_point started_at;
+        /// Requests per second that the upstream took at the start; nullopt without a limit.
+        std::optional<double> rate_limit;
         bool started = false;
         bool cancelled = false;
         std::optional<http_client::request_id> request;
@@ -151,6 +155,8 @@
                        time_point now) const;
     static void log_refusal(const refused_call& refused);
     void observe_slowdown(const http_result& result, time_point now);
+    /// Observes what a response of an upstream process says about that process.
+    void observe_upstream_state(const local_upstream& sender, const http_response& response);
     /// Probes an upstream that was slow at its last report if that report is old. Takes no token of
     /// slowdown_probe_budget_.
     void probe_stale_slowdown(time_point now);
@@ -182,6 +188,8 @@
     std::uint64_t last_id_ = 0;
     attempt_ledger attempts_;
     upstream_slowdown slowdown_;
+    /// What the upstream process has said of itself.
+    upstream_statement statement_;
     bool slowdown_probe_running_ = false;
     /// Calls that wait for the running slowdown probe.
     std::vector<waiting_routed_call> waiting_for_slowdown_;
--- a/include/chestnutstand/node/upstream_exchange.h
+++ b/include/chestnutstand/node/upstream_exchange.h
@@ -16,6 +16,11 @@
 /// timeout would make its outcome unknown.
 milliseconds upstream_timeout(const service_call& call, time_point now);
 
+/// Whether the result is a response of the upstream process that the call was sent to, rather than
+/// one to another request or of another process at the same address.
+bool is_response_of_upstream(const service_call& call, const http_result& result,
+                             const header_names& names);
+
 /// Determines the outcome of a call from the upstream's response or from the transport error.
 call_result classify_upstream_response(const service_call& call, http_result result,
                                        const header_names& names);
--- a/include/chestnutstand/transport/headers.h
+++ b/include/chestnutstand/transport/headers.h
@@ -41,6 +41,10 @@
     std::string origin_service;
     /// Load that an upstream reports in its responses.
     std::string upstream_load;
+    /// Requests per second that an upstream takes from all callers together.
+    std::string upstream_rate_limit;
+    /// Set in the responses of an upstream that is about to leave.
+    std::string upstream_leaving;
 };
 
 /// Compares header names case-insensitively.
--- a/lib/config/settings_file.cpp
+++ b/lib/config/settings_file.cpp
@@ -121,6 +121,8 @@
         schema::text("upstream_id", header_format, &header_names::upstream_id),
         schema::text("origin_service", header_format, &header_names::origin_service),
         schema::text("upstream_load", header_format, &header_names::upstream_load),
+        schema::text("upstream_rate_limit", header_format, &header_names::upstream_rate_limit),
+        schema::text("upstream_leaving", header_format, &header_names::upstream_leaving),
     };
     return keys;
 }
--- a/lib/node/admin_api.cpp
+++ b/lib/node/admin_api.cpp
@@ -114,6 +114,7 @@
     }
     heartbeat.sequence = *sequence;
     heartbeat.born_ms = *born;
+    heartbeat.upstream.born_ms = *born;
     const auto cold = parsed.find("cold_ms");
     if (cold != parsed.end() && cold->is_number()) {
         heartbeat.warmup_left = milliseconds{std::max(0.0, cold->get<double>())};
--- a/lib/node/executor.cpp
+++ b/lib/node/executor.cpp
@@ -94,6 +94,9 @@
             refuse_queued(reason_code::no_upstream, deferred);
         }
         upstream_ = std::move(upstream);
+        if (upstream_) {
+            statement_.set_process(upstream_->id, upstream_->born_ms);
+        }
         if (upstream_ && queue_) {
             queue_->set_slots(usable_slots());
         }
@@ -309,8 +312,8 @@
     if (runs_at_most_once(execution.call) && !attempts_.start(execution.call.request_id)) {
         return false;
     }
-    execution.base_url = upstream_->base_url;
-    execution.upstream_id = upstream_->id;
+    execution.upstream = *upstream_;
+    execution.rate_limit = statement_.rate_limit();
     execution.started = true;
     execution.started_at = ms_clock::now();
     return true;
@@ -388,8 +391,9 @@
 {
     const auto timeout = upstream_timeout(execution->call, ms_clock::now());
     const auto request = client_.send(
-        execution->base_url, make_upstream_request(execution->call, names_, execution->upstream_id),
-        timeout, [this, execution](http_result result) { finish(execution, std::move(result)); });
+        execution->upstream.base_url,
+        make_upstream_request(execution->call, names_, execution->upstream.id), timeout,
+        [this, execution](http_result result) { finish(execution, std::move(result)); });
     bool cancelled = false;
     {
         const std::lock_guard lock{mutex_};
@@ -433,6 +437,9 @@
     const auto now = ms_clock::now();
     const auto sample = make_sample(upstream_result, names_);
     observe_slowdown(upstream_result, now);
+    if (is_response_of_upstream(execution->call, upstream_result, names_)) {
+        observe_upstream_state(execution->upstream, upstream_result.response);
+    }
     call_result result =
         classify_upstream_response(execution->call, std::move(upstream_result), names_);
     deferred_actions deferred;
--- a/lib/node/executor_log.cpp
+++ b/lib/node/executor_log.cpp
@@ -11,7 +11,7 @@
     const bool completed = result.outcome == call_outcome::completed;
     log_event(log_level::info, "call executed",
               {{"request_id", execution.call.request_id},
-               {"upstream", execution.upstream_id},
+               {"upstream", execution.upstream.id},
                {"class", execution.call.priority},
                {"outcome", std::string{to_string(result.outcome)}},
                {"reason", std::string{to_string(result.reason)}},
@@ -20,6 +20,7 @@
                {"run_ms", (now - execution.started_at).count()},
                {"in_flight", std::uint64_t{result.load ? result.load->in_flight : 0}},
                {"limit", std::uint64_t{result.load ? result.load->limit : 0}},
+               {"rate_limit", execution.rate_limit.value_or(0.0)},
                {"pace", result.load ? result.load->pace : 1.0}});
 }
 
--- a/lib/node/upstream_exchange.cpp
+++ b/lib/node/upstream_exchange.cpp
@@ -99,6 +99,16 @@
     return call.idempotency_key.empty() ? remaining : std::max(remaining, min_keyed_timeout);
 }
 
+bool is_response_of_upstream(const service_call& call, const http_result& result,
+                             const header_names& names)
+{
+    const bool has_response = result.error == http_error::none ||
+                              (result.error == http_error::unframed && is_routed(call));
+    return has_response &&
+           find_header(result.response.headers, names.request_id) == call.request_id &&
+           !is_misdirected(result.response, names);
+}
+
 call_result classify_upstream_response(const service_call& call, http_result result,
                                        const header_names& names)
 {
