Reproduce requests beyond the rate limit that an upstream names

The new test of the executor fails on this code: an upstream that takes 2 requests a second gets 10 at once.

--- /dev/null
+++ b/unittests/node/executor_statement_test.cpp
@@ -0,0 +1,78 @@
+#include "executor_fixture.h"
+
+namespace chestnutstand {
+namespace {
+
+/// Executor whose upstream has many slots and sends the headers Rate and Leaving.
+class executor_statement_test : public executor_test {
+protected:
+    static constexpr std::uint32_t slots = 20;
+
+    static header_names names()
+    {
+        header_names names;
+        names.upstream_id = "Id";
+        names.upstream_rate_limit = "Rate";
+        names.upstream_leaving = "Leaving";
+        return names;
+    }
+
+    executor_statement_test() { stated_.set_upstream(upstream(1)); }
+
+    static local_upstream upstream(std::uint64_t born_ms)
+    {
+        return {"ledger", "http://127.0.0.1:1", slots, "i-1", born_ms};
+    }
+
+    /// Offers a call and returns the reason of its end, or internal while it waits or runs.
+    reason_code offer(bool movable = false)
+    {
+        service_call call;
+        call.service = "ledger";
+        call.priority = "write";
+        call.movable = movable;
+        call.repeat = repeatability::repeatable;
+        call.deadline = ms_clock::now() + milliseconds{60'000};
+        call.request_id = std::to_string(++last_call_);
+        const auto reason = std::make_shared<reason_code>(reason_code::internal);
+        stated_.execute(own_instance, call,
+                        [reason](const call_result& result) { *reason = result.reason; });
+        return *reason;
+    }
+
+    /// Completes a call with these headers.
+    void respond_to_a_call(std::vector<http_header> headers)
+    {
+        offer();
+        upstream_.respond(upstream_.last_id, 200, std::move(headers));
+    }
+
+    std::size_t running_after_offers(int count)
+    {
+        for (int i = 0; i < count; ++i) {
+            offer();
+        }
+        return upstream_.pending.size();
+    }
+
+    executor stated_{own_instance, upstream_, stats_, keys_, [this] { return document_; }, names()};
+};
+
+// Guards against sending an upstream in need as many requests as it has slots.
+TEST_F(executor_statement_test, keeps_to_the_rate_limit_that_the_upstream_names)
+{
+    respond_to_a_call({{"Rate", "2"}});
+    EXPECT_LE(running_after_offers(10), 1U);
+}
+
+// Guards against a limit that stays after the upstream has stopped naming it, or that a later
+// process inherits.
+TEST_F(executor_statement_test, lifts_the_limit_when_it_is_no_longer_named)
+{
+    respond_to_a_call({{"Rate", "1000"}});
+    respond_to_a_call({});
+    EXPECT_EQ(running_after_offers(10), 10U);
+}
+
+} // namespace
+} // namespace chestnutstand
