Keep to the rate limit that an upstream names

Cause: the header was passed on and not read. The class: a statement of the upstream about its load that no decision uses; slots alone do not limit a rate.

Change: the admission queue of the node beside the upstream, the only process that sends to it, takes a token for each start. The limit belongs to one process of the upstream and ends with a response that does not name it. What cannot start in time is refused at once; a movable call goes to another node when it would wait for more than a quarter of its target (upstream_rate_limited); reports show the concurrency at that rate, and no room while the tokens are used up. Probes pause, since they are requests too.

--- a/include/chestnutstand/admission/admission_queue.h
+++ b/include/chestnutstand/admission/admission_queue.h
@@ -3,6 +3,7 @@
 #include "chestnutstand/admission/class_queue.h"
 #include "chestnutstand/admission/concurrency_limit.h"
 #include "chestnutstand/admission/decaying_mean.h"
+#include "chestnutstand/admission/rate_limit.h"
 #include "chestnutstand/config/document.h"
 #include "chestnutstand/support/clock.h"
 #include "chestnutstand/support/reason.h"
@@ -61,6 +62,9 @@
 /// credit of a class therefore stays below H(K) + its share: this is the known bound for K counters
 /// that together grow by at most one per step and of which the largest is always the one reduced.
 ///
+/// Rate limit: an upstream may take only so many requests per second. Requests of all classes then
+/// wait for the same tokens, in the order above.
+///
 /// Headroom: running requests are not preempted, so if slow requests of less urgent classes held
 /// all slots, an urgent request would have to wait for one of them to end. Less urgent classes
 /// therefore leave as many slots free as the more urgent classes are expected to need, judged by
@@ -82,13 +86,27 @@
     /// target, or if it would miss its deadline by waiting longer.
     void set_slowdown(double factor) { slowdown_ = factor; }
 
+    /// Sets the requests per second that the upstream takes; nullopt for no limit.
+    void set_rate_limit(std::optional<double> per_second, time_point now)
+    {
+        rate_limit_.set(per_second, now);
+    }
+
+    /// Whether a request that arrives now would wait for the rate limit for so long that another
+    /// upstream is likely to be faster.
+    bool is_delayed_by_rate_limit(std::size_t priority, time_point now);
+
+    /// Counts a request to the upstream that does not pass through the queue against the rate
+    /// limit. Returns false if it must not be sent now.
+    bool try_take_rate(time_point now) { return rate_limit_.try_take(now); }
+
     /// Admits, queues or refuses a request. Ids must be unique among all requests in the queue.
     offer_result offer(std::uint64_t id, std::size_t priority, time_point deadline, time_point now);
 
     /// The next request to start or to refuse. Call it until it returns nullopt, after each call of
     /// another non-const member and whenever the time of next_expiry() has passed. While requests
-    /// are queued and the slowdown is above 1, also call it at least every 40 ms: next_expiry()
-    /// does not tell when a request that was held back has to start because of its deadline.
+    /// are queued and the slowdown is above 1 or a rate limit is set, also call it at least every
+    /// 40 ms: next_expiry() does not tell when a request that was held back may or has to start.
     std::optional<queue_decision> next(time_point now);
 
     /// Ends a started request; false if no such request is running.
@@ -115,8 +133,10 @@
     /// Expected queueing time of a request that arrives now.
     milliseconds expected_wait(std::size_t priority, time_point now);
 
-    /// Current load; the caller has to set instance, upstream_registered and pace.
-    load_report report() const;
+    /// Current load; the caller has to set instance, upstream_registered and pace. Under a rate
+    /// limit, the concurrency limit is the number of requests that run at once at that rate, and
+    /// all of it counts as used while no request may start.
+    load_report report(time_point now) const;
 
 private:
     struct running_request {
@@ -127,6 +147,8 @@
 
     reason_code refusal_of(std::uint64_t id, std::size_t priority, time_point deadline,
                            time_point now);
+    milliseconds expected_wait_for_slot(std::size_t priority, time_point now);
+    milliseconds expected_wait_for_rate(std::size_t priority, time_point now);
     std::optional<std::size_t> pick(time_point now) const;
     std::optional<std::size_t> pick_guaranteed(time_point now) const;
     queue_decision start_next_of(std::size_t priority, time_point now);
@@ -150,6 +172,7 @@
     /// To be returned by next() as refused.
     std::deque<queued_request> requests_of_removed_classes_;
     decaying_mean service_time_;
+    rate_limit rate_limit_;
     double slowdown_ = 1.0;
     bool draining_ = false;
 };
--- a/include/chestnutstand/node/executor.h
+++ b/include/chestnutstand/node/executor.h
@@ -129,7 +129,9 @@
     /// Number of the upstream's slots that this node may use at once.
     std::uint32_t usable_slots() const;
     std::optional<reason_code> refusal_reason(std::uint64_t target_instance,
-                                              const service_call& call, time_point now) const;
+                                              const service_call& call, time_point now);
+    /// Passes the rate limit that the upstream has named to the queue.
+    void apply_rate_limit(time_point now);
     /// Offers a call to the queue. A routed call first waits for a slowdown probe if the slowdown
     /// of the upstream is not known; all other calls are offered at once.
     void offer(std::uint64_t target_instance, service_call call, const std::optional<key_id>& key,
--- a/include/chestnutstand/support/token_bucket.h
+++ b/include/chestnutstand/support/token_bucket.h
@@ -26,12 +26,28 @@
         return true;
     }
 
+    /// Time until the bucket would hold this many tokens if its size were not limited. The rate
+    /// must not be 0.
+    milliseconds time_until(double tokens, time_point now)
+    {
+        refill(now);
+        return milliseconds{std::max(0.0, (tokens - tokens_) / rate_per_ms_)};
+    }
+
     void set_rate(double tokens_per_second, time_point now)
     {
         refill(now);
         rate_per_ms_ = tokens_per_second / 1000.0;
     }
 
+    /// Sets the most tokens that can be saved; those above it are lost.
+    void set_burst(double burst, time_point now)
+    {
+        refill(now);
+        burst_ = burst;
+        tokens_ = std::min(tokens_, burst_);
+    }
+
 private:
     void refill(time_point now)
     {
--- a/lib/admission/admission_queue.cpp
+++ b/lib/admission/admission_queue.cpp
@@ -12,6 +12,10 @@
 constexpr double service_time_samples = 32.0;
 constexpr milliseconds service_time_half_life{500};
 constexpr double min_service_time_ms = 0.01;
+constexpr double ms_per_second = 1'000.0;
+// Sending a request to another upstream takes a few milliseconds and may end in its queue, so that
+// a wait of at most a quarter of the latency target is preferred.
+constexpr double tolerable_rate_wait_target_fraction = 0.25;
 // The other half of class_queue::target_slack() allows for the variation of the estimate and of the
 // service time.
 constexpr double overloaded_wait_slack_fraction = 0.5;
@@ -146,7 +150,7 @@
 
 std::optional<std::size_t> admission_queue::pick(time_point now) const
 {
-    if (in_flight() >= limit_.value() || queued_.empty()) {
+    if (in_flight() >= limit_.value() || queued_.empty() || !rate_limit_.allows(now)) {
         return std::nullopt;
     }
     if (const auto guaranteed = pick_guaranteed(now)) {
@@ -177,6 +181,7 @@
 queue_decision admission_queue::start_next_of(std::size_t priority, time_point now)
 {
     auto& queue = classes_[priority];
+    rate_limit_.try_take(now);
     update_credits(priority);
     const auto request = queue.pop(now);
     queue.dispatches().add(now);
@@ -303,7 +308,44 @@
     return earliest;
 }
 
+bool admission_queue::is_delayed_by_rate_limit(std::size_t priority, time_point now)
+{
+    return expected_wait_for_rate(priority, now) >
+           classes_[priority].config().latency_target * tolerable_rate_wait_target_fraction;
+}
+
 milliseconds admission_queue::expected_wait(std::size_t priority, time_point now)
+{
+    return std::max(expected_wait_for_slot(priority, now), expected_wait_for_rate(priority, now));
+}
+
+/// Expected time until the rate limit lets a request that arrives now start, after those that are
+/// served before it.
+milliseconds admission_queue::expected_wait_for_rate(std::size_t priority, time_point now)
+{
+    if (!rate_limit_.per_second()) {
+        return milliseconds{0};
+    }
+    const double limit_per_ms = *rate_limit_.per_second() / ms_per_second;
+    double ahead = static_cast<double>(classes_[priority].requests_ahead(now));
+    double left_per_ms = limit_per_ms;
+    for (const auto index : by_urgency_) {
+        if (index == priority) {
+            break;
+        }
+        ahead += static_cast<double>(classes_[index].size());
+        left_per_ms -= classes_[index].dispatches().per_ms(now);
+    }
+    left_per_ms = std::max(left_per_ms, limit_per_ms * classes_[priority].guaranteed_share());
+    const milliseconds first = rate_limit_.wait_for(1.0, now);
+    if (ahead <= 0.0) {
+        return first;
+    }
+    return left_per_ms > 0.0 ? first + milliseconds{ahead / left_per_ms}
+                             : milliseconds{std::numeric_limits<double>::infinity()};
+}
+
+milliseconds admission_queue::expected_wait_for_slot(std::size_t priority, time_point now)
 {
     auto& queue = classes_[priority];
     const auto ahead_in_class = queue.requests_ahead(now);
@@ -416,11 +458,18 @@
     });
 }
 
-load_report admission_queue::report() const
+load_report admission_queue::report(time_point now) const
 {
     load_report load;
     load.in_flight = in_flight();
     load.limit = limit_.value();
+    if (rate_limit_.per_second()) {
+        const double at_once = *rate_limit_.per_second() / ms_per_second * service_time_.mean();
+        load.limit = std::clamp(static_cast<std::uint32_t>(std::lround(std::ceil(at_once))), 1U,
+                                std::max(1U, load.limit));
+        load.in_flight =
+            rate_limit_.allows(now) ? load.in_flight : std::max(load.in_flight, load.limit);
+    }
     load.latency = milliseconds{service_time_.mean()};
     load.draining = draining_;
     for (const auto& queue : classes_) {
--- a/lib/node/attempt_result.h
+++ b/lib/node/attempt_result.h
@@ -26,6 +26,15 @@
             result.reason == reason_code::deadline_unmeetable);
 }
 
+/// Returns true if the member refused the attempt only because another one may start the call
+/// earlier.
+inline bool defers_call(const call_result& result)
+{
+    return result.outcome == call_outcome::not_run &&
+           (result.reason == reason_code::upstream_slow ||
+            result.reason == reason_code::upstream_rate_limited);
+}
+
 /// Returns true if another attempt may succeed after this response.
 inline bool is_transient_failure(const http_response& response)
 {
--- a/lib/node/dispatched_call.h
+++ b/lib/node/dispatched_call.h
@@ -35,10 +35,11 @@
     tree_budget budget;
     /// Instances that the call has been sent to.
     std::vector<std::uint64_t> tried_members;
-    /// The tried instances that refused the call only because their upstream was slow.
-    std::vector<std::uint64_t> slow_members;
-    /// Whether the call may wait for a slow upstream, because no other member is left.
-    bool slow_members_allowed = false;
+    /// The tried instances that refused the call only because another member may start it earlier.
+    std::vector<std::uint64_t> deferring_members;
+    /// Whether the call may wait for an upstream that is slow or limits its rate, because no other
+    /// member is left.
+    bool deferring_members_allowed = false;
     /// One for each attempt, so that the attempts that a hedge overtakes can be cancelled.
     std::vector<std::shared_ptr<cancellation>> cancellations;
     /// Number of attempts that have been started.
@@ -61,16 +62,16 @@
         absl::StrAppend(&history, history.empty() ? "" : " ", end, "@", absl::Hex(member));
     }
 
-    /// Makes the members that refused the call only because their upstream was slow eligible again,
-    /// and lets the call wait for them. Returns false if there are none.
-    bool allow_slow_members()
+    /// Makes the deferring members eligible again, and lets the call wait for them. Returns false
+    /// if there are none.
+    bool allow_deferring_members()
     {
         std::erase_if(tried_members, [this](std::uint64_t instance) {
-            return std::find(slow_members.begin(), slow_members.end(), instance) !=
-                   slow_members.end();
+            return std::find(deferring_members.begin(), deferring_members.end(), instance) !=
+                   deferring_members.end();
         });
-        slow_members_allowed = true;
-        return !std::exchange(slow_members, {}).empty();
+        deferring_members_allowed = true;
+        return !std::exchange(deferring_members, {}).empty();
     }
 };
 
--- a/lib/node/dispatcher.cpp
+++ b/lib/node/dispatcher.cpp
@@ -22,8 +22,8 @@
 /// never reach an upstream and therefore do not consume the retry budget of the call tree.
 constexpr std::size_t attempt_limit = 6;
 
-/// A call that has been sent to this many members waits for a slow upstream instead of being moved
-/// to another member.
+/// A call that has been sent to this many members waits for an upstream that is slow or limits its
+/// rate instead of being moved to another member.
 constexpr std::size_t move_limit = 4;
 
 constexpr milliseconds probe_timeout{300};
@@ -241,7 +241,7 @@
                                     state->queue_refusals);
         };
         target = choose();
-        if (!target && state->allow_slow_members()) {
+        if (!target && state->allow_deferring_members()) {
             target = choose();
         }
         if (!target) {
@@ -250,7 +250,7 @@
         }
         ++state->placements;
         state->tried_members.push_back(target->node.instance);
-        movable = routed && !state->slow_members_allowed && state->placements < move_limit;
+        movable = routed && !state->deferring_members_allowed && state->placements < move_limit;
         state->cancellations.push_back(cancel);
         ++state->attempts_in_flight;
     }
@@ -313,8 +313,8 @@
         }
         state->note_attempt(result, member);
         state->queue_refusals += refused_by_queue(result) ? 1 : 0;
-        if (result.reason == reason_code::upstream_slow && result.load) {
-            state->slow_members.push_back(result.load->instance);
+        if (defers_call(result) && result.load) {
+            state->deferring_members.push_back(result.load->instance);
         }
         if (!reached_upstream(result)) {
             state->budget.give_back(attempt_budget);
--- a/lib/node/executor.cpp
+++ b/lib/node/executor.cpp
@@ -101,6 +101,7 @@
             queue_->set_slots(usable_slots());
         }
         apply_configuration(now);
+        apply_rate_limit(now);
         apply_queue_decisions(now, deferred);
     }
     run_deferred(std::move(deferred));
@@ -138,6 +139,7 @@
         return;
     }
     queue_.emplace(classes, usable_slots());
+    apply_rate_limit(now);
     if (draining_) {
         queue_->drain();
     }
@@ -151,7 +153,7 @@
 }
 
 std::optional<reason_code> executor::refusal_reason(std::uint64_t target_instance,
-                                                    const service_call& call, time_point now) const
+                                                    const service_call& call, time_point now)
 {
     if (target_instance != instance_) {
         return reason_code::wrong_instance;
@@ -168,12 +170,16 @@
     if (call.deadline <= now) {
         return reason_code::deadline_exceeded;
     }
-    if (!find_class(call)) {
+    const auto priority = find_class(call);
+    if (!priority) {
         return reason_code::unknown_priority;
     }
     if (call.movable && slowdown_.slow(now)) {
         return reason_code::upstream_slow;
     }
+    if (call.movable && queue_->is_delayed_by_rate_limit(*priority, now)) {
+        return reason_code::upstream_rate_limited;
+    }
     return std::nullopt;
 }
 
@@ -479,7 +485,8 @@
         apply_configuration(now);
         update_queue_slowdown(now);
         apply_queue_decisions(now, deferred);
-        if (upstream_ && !draining_) {
+        const bool probes = upstream_ && !draining_ && !statement_.rate_limit();
+        if (probes) {
             probe_url = upstream_->base_url;
         }
     }
@@ -498,7 +505,7 @@
 
 load_report executor::report_locked() const
 {
-    load_report load = queue_ ? queue_->report() : load_report{};
+    load_report load = queue_ ? queue_->report(ms_clock::now()) : load_report{};
     load.instance = instance_;
     if (!upstream_) {
         load.limit = 0;
--- a/lib/node/executor_slowdown.cpp
+++ b/lib/node/executor_slowdown.cpp
@@ -20,8 +20,10 @@
 
 bool executor::should_wait_for_slowdown(const service_call& call, time_point now)
 {
+    // Probes are requests too, and an upstream with a rate limit needs these for calls.
     if (!is_routed(call) || names_.upstream_load.empty() || health_path().empty() ||
-        slowdown_.has_fresh_report(now) || now < slowdown_probes_paused_until_) {
+        statement_.rate_limit() || slowdown_.has_fresh_report(now) ||
+        now < slowdown_probes_paused_until_) {
         return false;
     }
     return slowdown_probe_running_ || slowdown_probe_budget_.try_take(now);
--- a/lib/node/executor_statement.cpp
+++ b/lib/node/executor_statement.cpp
@@ -15,6 +15,13 @@
 
 } // namespace
 
+void executor::apply_rate_limit(time_point now)
+{
+    if (queue_) {
+        queue_->set_rate_limit(statement_.rate_limit(), now);
+    }
+}
+
 void executor::observe_upstream_state(const local_upstream& sender, const http_response& response)
 {
     const auto named = find_header(response.headers, names_.upstream_rate_limit);
@@ -32,6 +39,9 @@
             return;
         }
         limit_changed = (rate_limit || !named) && statement_.set_rate_limit(rate_limit);
+        if (limit_changed) {
+            apply_rate_limit(ms_clock::now());
+        }
         leaving_is_new = leaves && statement_.set_leaving();
     }
     if (limit_changed) {
--- a/unittests/admission/admission_properties_test.cpp
+++ b/unittests/admission/admission_properties_test.cpp
@@ -226,7 +226,7 @@
     void refill(std::size_t priority)
     {
         // The deadline is too late to matter; only the order of service is tested.
-        while (queue_.report().queues[priority].length < 2) {
+        while (queue_.report(now_).queues[priority].length < 2) {
             class_of_[++last_id_] = priority;
             const auto deadline = now_ + milliseconds{1e9};
             const auto result = queue_.offer(last_id_, priority, deadline, now_).result;
--- a/unittests/admission/admission_queue_test.cpp
+++ b/unittests/admission/admission_queue_test.cpp
@@ -262,7 +262,7 @@
     queue_.drain();
     EXPECT_EQ(offer(urgent), offer_state::refused);
     EXPECT_EQ(last_offer_.reason, reason_code::draining);
-    EXPECT_TRUE(queue_.report().draining);
+    EXPECT_TRUE(queue_.report(now_).draining);
     queue_.finish(1, uninformative_sample, now_);
     EXPECT_EQ(queue_.next(now_).value().id, queued);
     for (const auto id : {std::uint64_t{2}, std::uint64_t{3}, std::uint64_t{4}, queued}) {
@@ -279,7 +279,7 @@
     fill_slots(urgent);
     offer(batch);
     offer(batch);
-    const auto load = queue_.report();
+    const auto load = queue_.report(now_);
     EXPECT_EQ(load.in_flight, slots);
     EXPECT_EQ(load.limit, slots);
     EXPECT_DOUBLE_EQ(load.latency.count(), 8.0);
--- a/unittests/node/executor_statement_test.cpp
+++ b/unittests/node/executor_statement_test.cpp
@@ -65,13 +65,47 @@
     EXPECT_LE(running_after_offers(10), 1U);
 }
 
-// Guards against a limit that stays after the upstream has stopped naming it, or that a later
-// process inherits.
-TEST_F(executor_statement_test, lifts_the_limit_when_it_is_no_longer_named)
+// Guards against a limit that stays after the upstream has stopped naming it.
+TEST_F(executor_statement_test, lifts_a_limit_that_is_no_longer_named)
 {
-    respond_to_a_call({{"Rate", "1000"}});
-    respond_to_a_call({});
-    EXPECT_EQ(running_after_offers(10), 10U);
+    offer();
+    offer();
+    upstream_.respond(1, 200, {{"Rate", "1"}});
+    EXPECT_EQ(running_after_offers(5), 1U);
+    upstream_.respond(2, 200);
+    EXPECT_EQ(upstream_.pending.size(), 5U);
+}
+
+// Guards against a limit that a later process of the upstream inherits, also under the same id.
+TEST_F(executor_statement_test, forgets_the_limit_of_an_earlier_process)
+{
+    respond_to_a_call({{"Rate", "1"}});
+    EXPECT_EQ(running_after_offers(5), 0U);
+    stated_.set_upstream(upstream(2));
+    EXPECT_EQ(upstream_.pending.size(), 5U);
+}
+
+// Guards against a limit that is taken from a response to another request or of another process.
+TEST_F(executor_statement_test, ignores_statements_of_other_responses)
+{
+    offer();
+    upstream_.complete(1, {http_error::none,
+                           {200, {{"Rate", "1"}, {std::string{header::request_id}, "x"}}, ""},
+                           milliseconds{1}});
+    offer();
+    upstream_.respond(2, 421, {{"Rate", "1"}});
+    offer();
+    stated_.set_upstream(upstream(2));
+    upstream_.respond(3, 200, {{"Rate", "1"}});
+    EXPECT_EQ(running_after_offers(5), 5U);
+}
+
+// Guards against calls that wait for the rate limit although another node could start them.
+TEST_F(executor_statement_test, refuses_movable_calls_while_the_limit_delays_them)
+{
+    respond_to_a_call({{"Rate", "1"}});
+    EXPECT_EQ(offer(/*movable=*/true), reason_code::upstream_rate_limited);
+    EXPECT_EQ(offer(/*movable=*/false), reason_code::internal);
 }
 
 } // namespace
--- a/unittests/replay/replay_member.cpp
+++ b/unittests/replay/replay_member.cpp
@@ -205,7 +205,7 @@
 
 load_report replay_member::report() const
 {
-    load_report load = queue_.report();
+    load_report load = queue_.report(loop_.now());
     load.instance = instance();
     load.upstream_registered = true;
     load.pace = options_.follow_slowdown ? slowdown_.factor(loop_.now()) : 1.0;
