Withdraw an upstream whose responses say that it leaves

Until now only heartbeats and DELETE withdrew it; the header was passed on and not read, so that an upstream whose heartbeats do not arrive kept getting calls.

Change: the executor reports the process to the registry, which treats it as one that drains: later heartbeats of that process do not admit it again, a later process under the same id is admitted. The question before an admission, at a node that was started again, reads the same header.

Evidence: gets_no_calls_after_it_said_that_it_leaves and is_not_admitted_if_ its_verification_says_that_it_leaves fail without the report to the registry and pass with it; two more tests guard against too much.

--- a/include/chestnutstand/node/executor.h
+++ b/include/chestnutstand/node/executor.h
@@ -19,6 +19,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace chestnutstand {
@@ -52,11 +53,21 @@
     executor(std::uint64_t instance, http_client& client, metrics& stats, executor_keys& keys,
              configuration_source configuration, header_names names = {});
 
+    /// Called with the id and start time of an upstream process whose response says that it leaves,
+    /// once for each process, on any thread.
+    using departure_listener = std::function<void(const std::string& id, std::uint64_t born_ms)>;
+
+    /// Must be called before the first call of set_upstream().
+    void on_departure(departure_listener listener) { departed_ = std::move(listener); }
+
     /// Sets or removes the upstream. Calls that run on the previous upstream continue; queued calls
     /// are refused when the upstream was removed or its service changed.
     void set_upstream(std::optional<local_upstream> upstream);
     std::optional<local_upstream> upstream() const;
 
+    /// Observes the response of an upstream process that is about to become the upstream.
+    void observe_verification(const local_upstream& verified, const http_response& response);
+
     /// Refuses new calls from now on; queued calls still run.
     void begin_drain();
 
@@ -179,6 +190,7 @@
     executor_keys& keys_;
     const configuration_source configuration_;
     const header_names names_;
+    departure_listener departed_;
     load_prober prober_;
     mutable std::mutex mutex_;
     std::optional<local_upstream> upstream_;
--- a/lib/node/components/executor_component.cpp
+++ b/lib/node/components/executor_component.cpp
@@ -45,6 +45,10 @@
                                                 upstream ? upstream->slots : 0);
                 }
             });
+        executor_->on_departure([this, &node](const std::string& id, std::uint64_t born_ms) {
+            node.control().post(
+                [this, id, born_ms] { registry_->leave(id, born_ms, unix_now_ms()); });
+        });
         registry_->verify_processes_born_before(
             unix_now_ms(), [this, &node](const local_upstream& upstream, std::uint64_t born_ms) {
                 verify_upstream(node, upstream, born_ms);
@@ -84,11 +88,14 @@
             return;
         }
         node.http().send(upstream.base_url, {"GET", service->health_path, {}, ""}, health_timeout,
-                         [confirm, id = upstream.id](const http_result& result) {
+                         [this, confirm, upstream](const http_result& result) {
+                             if (result.error == http_error::none) {
+                                 executor_->observe_verification(upstream, result.response);
+                             }
                              const bool healthy =
                                  result.error == http_error::none && result.response.status == 200;
                              log_event(log_level::info, "upstream asked before its admission",
-                                       {{"upstream", id},
+                                       {{"upstream", upstream.id},
                                         {"healthy", healthy},
                                         {"status", std::int64_t{result.response.status}}});
                              if (healthy) {
--- a/lib/node/executor_statement.cpp
+++ b/lib/node/executor_statement.cpp
@@ -53,7 +53,19 @@
     if (leaving_is_new) {
         log_event(log_level::info, "upstream responses say that it leaves",
                   {{"upstream", sender.id}, {"born_ms", sender.born_ms}});
+        if (departed_) {
+            departed_(sender.id, sender.born_ms);
+        }
+    }
+}
+
+void executor::observe_verification(const local_upstream& verified, const http_response& response)
+{
+    {
+        const std::lock_guard lock{mutex_};
+        statement_.set_process(verified.id, verified.born_ms);
     }
+    observe_upstream_state(verified, response);
 }
 
 } // namespace chestnutstand
--- a/unittests/node/executor_statement_test.cpp
+++ b/unittests/node/executor_statement_test.cpp
@@ -1,5 +1,13 @@
 #include "executor_fixture.h"
 
+#include "chestnutstand/node/upstream_registry.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
 namespace chestnutstand {
 namespace {
 
@@ -108,5 +116,72 @@
     EXPECT_EQ(offer(/*movable=*/false), reason_code::internal);
 }
 
+class leaving_upstream_test : public executor_statement_test {
+protected:
+    leaving_upstream_test()
+    {
+        stated_.on_departure([this](const std::string& id, std::uint64_t born_ms) {
+            ++departures_;
+            registry_.leave(id, born_ms, born_ms);
+        });
+        announce(1);
+    }
+
+    void announce(std::uint64_t born_ms)
+    {
+        upstream_heartbeat heartbeat;
+        heartbeat.upstream = upstream(born_ms);
+        heartbeat.born_ms = born_ms;
+        heartbeat.sequence = ++sequence_;
+        registry_.announce(heartbeat, ms_clock::now());
+    }
+
+    upstream_registry registry_{
+        [this](const std::optional<local_upstream>& current) { stated_.set_upstream(current); }};
+    std::uint64_t sequence_ = 0;
+    int departures_ = 0;
+};
+
+// Guards against new calls on an upstream that has said in a response that it leaves, and whose
+// heartbeats do not say so.
+TEST_F(leaving_upstream_test, gets_no_calls_after_it_said_that_it_leaves)
+{
+    offer();
+    respond_to_a_call({{"Leaving", "1"}});
+    EXPECT_EQ(offer(), reason_code::no_upstream);
+    announce(1);
+    EXPECT_EQ(offer(), reason_code::no_upstream);
+    upstream_.respond(1, 200, {{"Leaving", "1"}});
+    EXPECT_EQ(departures_, 1);
+}
+
+// Guards against a process that gets no calls because an earlier one under its id has left.
+TEST_F(leaving_upstream_test, later_process_gets_calls)
+{
+    offer();
+    respond_to_a_call({{"Leaving", "1"}});
+    announce(2);
+    EXPECT_EQ(offer(), reason_code::internal);
+    upstream_.respond(1, 200, {{"Leaving", "1"}});
+    EXPECT_EQ(offer(), reason_code::internal);
+}
+
+// Guards against a node that is started again and admits an upstream that has already said that it
+// leaves.
+TEST_F(leaving_upstream_test, is_not_admitted_if_its_verification_says_that_it_leaves)
+{
+    registry_.withdraw();
+    stated_.observe_verification(upstream(1), {503, {{"Leaving", "1"}, {"Rate", "1"}}, ""});
+    announce(1);
+    EXPECT_EQ(offer(), reason_code::no_upstream);
+}
+
+// Guards against a false statement in the header of a sound upstream.
+TEST_F(leaving_upstream_test, stays_while_the_header_denies_it)
+{
+    respond_to_a_call({{"Leaving", "0"}});
+    EXPECT_EQ(offer(), reason_code::internal);
+}
+
 } // namespace
 } // namespace chestnutstand
