Bound the nesting of JSON from other processes

It happens here: a heartbeat with a deep value ends the node by a stack overflow, as a parsed value was copied and copying recurses; a document record with 100,000 levels took more than 8 GB, as each level stores its whole path.

Change: one function parses JSON of other processes and refuses more than 64 levels; the parser of documents and settings skips what is deeper and reports it. Numbers that no type holds were refused before.

Evidence: routed_path.keeps_its_upstream_after_odd_heartbeats (the node ended) and record_follower_test.survives_odd_records (std::bad_alloc at 8 GB) failed before and pass now.

--- a/lib/admission/load_prober.cpp
+++ b/lib/admission/load_prober.cpp
@@ -1,5 +1,7 @@
 #include "chestnutstand/admission/load_prober.h"
 
+#include "chestnutstand/support/json_parse.h"
+
 #include <nlohmann/json.hpp>
 
 #include <mutex>
@@ -16,7 +18,7 @@
     if (result.error != http_error::none || result.response.status != status_ok) {
         return std::nullopt;
     }
-    const auto body = nlohmann::json::parse(result.response.body, nullptr, false);
+    const auto body = parse_untrusted_json<nlohmann::json>(result.response.body);
     if (!body.is_object()) {
         return std::nullopt;
     }
--- a/lib/config/json_text.cpp
+++ b/lib/config/json_text.cpp
@@ -1,5 +1,6 @@
 #include "json_text.h"
 
+#include "chestnutstand/support/json_parse.h"
 #include "chestnutstand/support/str_cat.h"
 
 #include <set>
@@ -14,16 +15,22 @@
 /// Longer values are cut in error messages.
 constexpr std::size_t max_quoted_bytes = 60;
 
-/// Detects duplicate keys during parsing, because the parsed value keeps only the last of them.
-class duplicate_key_finder {
+/// Detects what the parsed value does not show or must not hold: duplicate keys, of which only the
+/// last is kept, and nesting beyond max_json_depth, which is skipped.
+class structure_checker {
 public:
-    explicit duplicate_key_finder(json_location root) : root_{std::move(root)} {}
+    explicit structure_checker(json_location root) : root_{std::move(root)} {}
 
     bool on_event(json::parse_event_t event, const json& parsed)
     {
         switch (event) {
         case json::parse_event_t::object_start:
         case json::parse_event_t::array_start:
+            // The parser reports no end of a container that is skipped here.
+            if (open_containers_.size() == max_json_depth) {
+                report_depth();
+                return false;
+            }
             open_containers_.push_back(
                 {current_location(), event == json::parse_event_t::array_start, 0, {}, {}});
             break;
@@ -73,6 +80,14 @@
         }
     }
 
+    void report_depth()
+    {
+        if (status_.ok()) {
+            status_ = invalid_value(
+                root_, str_cat("expected at most ", max_json_depth, " levels of nesting"));
+        }
+    }
+
     void end_value()
     {
         if (!open_containers_.empty() && open_containers_.back().is_array) {
@@ -124,16 +139,16 @@
 absl::StatusOr<json> parse_json(std::string_view text, std::string_view source)
 {
     const json_location root{std::string{source}, ""};
-    duplicate_key_finder finder{root};
+    structure_checker checker{root};
     try {
         auto value = json::parse(
             text,
             [&](int /*depth*/, json::parse_event_t event, json& parsed) {
-                return finder.on_event(event, parsed);
+                return checker.on_event(event, parsed);
             },
             /*allow_exceptions=*/true, /*ignore_comments=*/true);
-        if (!finder.status().ok()) {
-            return finder.status();
+        if (!checker.status().ok()) {
+            return checker.status();
         }
         return value;
     }
--- a/lib/node/admin_api.cpp
+++ b/lib/node/admin_api.cpp
@@ -4,6 +4,7 @@
 #include "chestnutstand/membership/membership.h"
 #include "chestnutstand/node/executor.h"
 #include "chestnutstand/node/upstream_registry.h"
+#include "chestnutstand/support/json_parse.h"
 #include "chestnutstand/support/log.h"
 
 #include <absl/status/statusor.h>
@@ -39,11 +40,14 @@
     return json_response(status, json{{"error", message}});
 }
 
-/// Returns the parsed body, or a discarded value when it is not a JSON object.
+/// Returns the parsed body, or a discarded value when it is not a JSON object or nested too deeply.
 json parse_object(const std::string& body)
 {
-    json parsed = json::parse(body, nullptr, /*allow_exceptions=*/false);
-    return parsed.is_object() ? parsed : json(json::value_t::discarded);
+    json parsed = parse_untrusted_json<json>(body);
+    if (!parsed.is_object()) {
+        parsed = json(json::value_t::discarded);
+    }
+    return parsed;
 }
 
 std::optional<std::string> string_field(const json& object, const char* key)
--- a/tests/integration/routed_path_test.cpp
+++ b/tests/integration/routed_path_test.cpp
@@ -165,6 +165,27 @@
     EXPECT_EQ(failed, 0);
 }
 
+// Guards against heartbeats of another writer that end the node or displace its upstream.
+TEST_F(routed_path, keeps_its_upstream_after_odd_heartbeats)
+{
+    constexpr std::size_t nesting = 200'000;
+    write_document(1, "/view/");
+    const auto& node = fleet_.add("east", "alpha");
+    ASSERT_TRUE(eventually([&] { return get_status(node, "/view/1") == 200; }));
+    const std::string sound = R"("service": "alpha", "state": "ready", "address": "127.0.0.1:9")";
+    const std::vector<std::string> odd_bodies{
+        "{" + sound + R"(, "slots": 9, "sequence": 1, "born": 1, "x": )" +
+            std::string(nesting, '[') + std::string(nesting, ']') + "}",
+        std::string(nesting, '['), "{" + sound + R"(, "slots": 1e999, "sequence": 1, "born": 1})",
+        "{" + sound + R"(, "slots": 9, "sequence": 1e30, "born": 1})"};
+    for (const std::string& body : odd_bodies) {
+        const auto result = exchange(fleet_.client(), node.admin_port,
+                                     {"PUT", "/upstreams/odd", {}, body}, milliseconds{5'000});
+        EXPECT_EQ(result.response.status, 400) << body.substr(0, 120);
+    }
+    EXPECT_EQ(get_status(node, "/view/1"), 200);
+}
+
 // Guards against a request id of a caller that does not appear in the logs.
 TEST_F(routed_path, logs_the_outcome_of_a_request)
 {
--- a/unittests/config/record_follower_test.cpp
+++ b/unittests/config/record_follower_test.cpp
@@ -154,6 +154,23 @@
     EXPECT_EQ(version(), 6U);
 }
 
+// Guards against a record of another writer that ends the node: one that is nested very deeply,
+// with numbers that no type holds, or with bytes that are not text.
+TEST_F(record_follower_test, survives_odd_records)
+{
+    constexpr std::size_t nesting = 100'000;
+    const std::string deep = std::string(nesting, '[') + std::string(nesting, ']');
+    complete_newest_read(6, 5);
+    store_.next().done(keyed_page{{{"k", deep, 5},
+                                   {"k", R"({"version": 9, "services": )" + deep + "}", 6},
+                                   {"k", R"({"version": 1e999, "services": [], "routes": []})", 7},
+                                   {"k", R"({"version": -1, "services": [], "routes": []})", 8},
+                                   {"k", std::string("\xff\x00{", 3), 9}},
+                                  10});
+    EXPECT_EQ(store_.next().from, 10U);
+    EXPECT_EQ(version(), 6U);
+}
+
 // Guards against a node that keeps polling from an offset whose records the store has dropped.
 TEST_F(record_follower_test, reads_the_newest_again_when_records_are_gone)
 {
