Refuse heartbeats and departures with values that no upstream has

Here such a heartbeat was accepted: an address with port 99999 became the upstream, and a sequence or start time near 2^64 made each later heartbeat of the real upstream outdated, so that its lease expired and callers were refused. A departure with such a start time kept all later processes out.

The checks of addresses move from the settings to support/address.h.

--- a/lib/config/settings_file.cpp
+++ b/lib/config/settings_file.cpp
@@ -3,12 +3,10 @@
 #include "schema.h"
 
 #include "chestnutstand/config/document_parser.h"
+#include "chestnutstand/support/address.h"
 #include "chestnutstand/support/str_cat.h"
 
-#include <arpa/inet.h>
-
 #include <algorithm>
-#include <array>
 #include <cctype>
 #include <charconv>
 #include <fstream>
@@ -25,47 +23,14 @@
 constexpr std::size_t min_secret_length = 16;
 constexpr std::size_t max_secret_length = 256;
 
-bool is_ip_address(std::string_view text)
-{
-    std::array<unsigned char, sizeof(in6_addr)> address{};
-    const std::string terminated{text};
-    return inet_pton(AF_INET, terminated.c_str(), address.data()) == 1 ||
-           inet_pton(AF_INET6, terminated.c_str(), address.data()) == 1;
-}
-
-bool is_port(std::string_view text)
-{
-    std::uint16_t port = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), port);
-    return error == std::errc{} && end == text.data() + text.size() && port > 0;
-}
-
-bool is_base_url(std::string_view text)
-{
-    constexpr std::string_view scheme = "http://";
-    if (text.substr(0, scheme.size()) != scheme) {
-        return false;
-    }
-    text.remove_prefix(scheme.size());
-    const auto colon = text.rfind(':');
-    if (colon == std::string_view::npos || !is_port(text.substr(colon + 1))) {
-        return false;
-    }
-    auto host = text.substr(0, colon);
-    if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
-        host = host.substr(1, host.size() - 2);
-    }
-    return is_ip_address(host);
-}
-
 bool is_secret(std::string_view text)
 {
     return text.size() >= min_secret_length && text.size() <= max_secret_length;
 }
 
-bool is_socket_address(std::string_view text)
+bool is_optional_socket_address(std::string_view text)
 {
-    return text.empty() || is_base_url(str_cat("http://", text));
+    return text.empty() || is_socket_address(text);
 }
 
 bool is_optional_url(std::string_view text)
@@ -89,7 +54,7 @@
                                           is_valid_name};
 constexpr schema::text_format ip_format{"an IP address", is_ip_address};
 constexpr schema::text_format url_format{"http://IP:PORT", is_optional_url};
-constexpr schema::text_format socket_format{"IP:PORT", is_socket_address};
+constexpr schema::text_format socket_format{"IP:PORT", is_optional_socket_address};
 constexpr schema::text_format header_format{"a header name, or empty", is_header_name};
 constexpr schema::text_format service_format{"a service name, or empty", is_optional_name};
 constexpr schema::text_format secret_format{"a text of 16 to 256 bytes", is_secret};
--- a/lib/node/admin_api.cpp
+++ b/lib/node/admin_api.cpp
@@ -4,6 +4,7 @@
 #include "chestnutstand/membership/membership.h"
 #include "chestnutstand/node/executor.h"
 #include "chestnutstand/node/upstream_registry.h"
+#include "chestnutstand/support/address.h"
 #include "chestnutstand/support/json_parse.h"
 #include "chestnutstand/support/log.h"
 
@@ -24,6 +25,10 @@
 using json = nlohmann::ordered_json;
 
 constexpr std::uint32_t max_slots = 100'000;
+/// Highest whole number that every JSON implementation represents exactly.
+constexpr std::uint64_t max_sequence = (std::uint64_t{1} << 53U) - 1;
+/// Clocks of VMs differ by seconds; a day also covers one that is being set.
+constexpr std::uint64_t max_clock_difference_ms = 86'400'000;
 constexpr std::string_view health_target = "/health";
 constexpr std::string_view upstreams_prefix = "/upstreams/";
 constexpr name_table<liveness, 4> liveness_names{{"alive", "suspect", "dead", "left"}};
@@ -77,12 +82,20 @@
     const auto service = string_field(parsed, "service");
     const auto address = string_field(parsed, "address");
     const auto slots = unsigned_field(parsed, "slots");
-    if (!service || service->empty() || !address || !slots || *slots == 0 || *slots > max_slots) {
+    const bool valid = service && !service->empty() && address && is_socket_address(*address) &&
+                       slots && *slots > 0 && *slots <= max_slots;
+    if (!valid) {
         return std::nullopt;
     }
     return local_upstream{*service, "http://" + *address, static_cast<std::uint32_t>(*slots), {}};
 }
 
+/// Whether a process may have started at this Unix time in milliseconds.
+bool is_plausible_birth(std::uint64_t born_ms)
+{
+    return born_ms <= unix_now_ms() + max_clock_difference_ms;
+}
+
 std::string upstream_id_of(const std::string& target)
 {
     return target.substr(upstreams_prefix.size(), target.find('?') - upstreams_prefix.size());
@@ -95,7 +108,7 @@
 {
     const auto upstream = read_upstream(request.body);
     if (!upstream) {
-        return absl::InvalidArgumentError("expected service, address and slots");
+        return absl::InvalidArgumentError("expected service, address (IP:PORT) and slots");
     }
     const json parsed = parse_object(request.body);
     const auto state = string_field(parsed, "state").value_or("");
@@ -116,6 +129,10 @@
     if (heartbeat.upstream.id.empty() || !sequence || !born) {
         return absl::InvalidArgumentError("expected an id, sequence and born");
     }
+    // Later heartbeats with lower numbers would be outdated.
+    if (*sequence > max_sequence || !is_plausible_birth(*born)) {
+        return absl::InvalidArgumentError("expected a lower sequence or born");
+    }
     heartbeat.sequence = *sequence;
     heartbeat.born_ms = *born;
     heartbeat.upstream.born_ms = *born;
@@ -259,6 +276,12 @@
     const std::string id = upstream_id_of(request.target);
     const json parsed = parse_object(request.body);
     const auto born = parsed.is_discarded() ? std::nullopt : unsigned_field(parsed, "born");
+    if (born && !is_plausible_birth(*born)) {
+        // It would keep all later processes with this id out.
+        log_event(log_level::warning, "departure refused", {{"upstream", id}, {"born_ms", *born}});
+        response->send(error_response(400, "expected a lower born"));
+        return;
+    }
     node_.control().post([this, response, id, born] {
         node_.get<upstream_registry>().leave(id, born.value_or(0), unix_now_ms());
         response->send(json_response(200, {{"status", "deregistered"}}));
--- a/tests/integration/routed_path_test.cpp
+++ b/tests/integration/routed_path_test.cpp
@@ -176,8 +176,15 @@
     const std::vector<std::string> odd_bodies{
         "{" + sound + R"(, "slots": 9, "sequence": 1, "born": 1, "x": )" +
             std::string(nesting, '[') + std::string(nesting, ']') + "}",
-        std::string(nesting, '['), "{" + sound + R"(, "slots": 1e999, "sequence": 1, "born": 1})",
-        "{" + sound + R"(, "slots": 9, "sequence": 1e30, "born": 1})"};
+        std::string(nesting, '['),
+        "{" + sound + R"(, "slots": 1e999, "sequence": 1, "born": 1})",
+        "{" + sound + R"(, "slots": 9, "sequence": 1e30, "born": 1})",
+        "{" + sound + R"(, "slots": 9, "sequence": 18446744073709551615, "born": 1})",
+        "{" + sound + R"(, "slots": 9, "sequence": 1, "born": 18446744073709551615})",
+        R"({"service": "alpha", "state": "ready", "address": "127.0.0.1:99999", "slots": 9,)"
+        R"( "sequence": 1, "born": 1})",
+        R"({"service": "alpha", "state": "ready", "address": "nowhere", "slots": 9,)"
+        R"( "sequence": 1, "born": 1})"};
     for (const std::string& body : odd_bodies) {
         const auto result = exchange(fleet_.client(), node.admin_port,
                                      {"PUT", "/upstreams/odd", {}, body}, milliseconds{5'000});
