End responses without an end at a limit of bytes

Cause: libcurl skips extensions and passes trailers on without a limit. Change: the client takes chunked bodies undecoded and decodes them with the decoder of the server, which limits lines and trailers; all header lines of a response may take 128 KiB, a chunked body twice the limit of its content. A transfer coding other than chunked is refused.

--- a/lib/transport/curl_client.cpp
+++ b/lib/transport/curl_client.cpp
@@ -1,3 +1,5 @@
+#include "chunked_body.h"
+
 #include "chestnutstand/transport/headers.h"
 #include "chestnutstand/transport/http_client.h"
 
@@ -9,6 +11,7 @@
 #include <mutex>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <optional>
 #include <sys/socket.h>
 #include <thread>
 #include <unordered_map>
@@ -31,6 +34,14 @@
 constexpr int status_no_content = 204;
 constexpr int status_not_modified = 304;
 
+/// Limit of the bytes of all header lines of a response, including those of interim responses.
+/// Servers commonly limit a head to 8 to 64 KiB.
+constexpr std::size_t max_header_bytes = 131'072;
+
+/// Limit of the bytes of a chunked body with its framing, relative to the limit of its content.
+/// Servers send chunks of kilobytes, whose framing takes less than a hundredth.
+constexpr std::size_t max_chunk_expansion = 2;
+
 /// A request and the response received so far.
 struct transfer {
     http_client::request_id id = 0;
@@ -44,9 +55,17 @@
     bool headers_complete = false;
     /// The current header block belongs to an interim (1xx) response.
     bool interim = false;
-    bool chunked = false;
     bool too_large = false;
+    bool malformed = false;
+    std::size_t header_bytes = 0;
     std::size_t max_response_bytes = 0;
+    /// Set if the body is chunked. It is not decoded by libcurl, which skips chunk extensions and
+    /// trailers of any length.
+    std::optional<chunked_body> chunks;
+    std::size_t chunked_bytes = 0;
+    /// Received bytes of the chunked body that are not decoded yet.
+    std::string undecoded;
+    bool chunks_complete = false;
 
     transfer() = default;
     transfer(const transfer&) = delete;
@@ -76,10 +95,15 @@
 {
     auto& exchange = *static_cast<transfer*>(user);
     const std::string_view line{data, size * count};
+    exchange.header_bytes += line.size();
+    if (exchange.header_bytes > max_header_bytes) {
+        exchange.too_large = true;
+        return 0;
+    }
     if (line.rfind("HTTP/", 0) == 0) {
         // Starts a new header block, for example after 100 Continue.
         exchange.result.response.headers.clear();
-        exchange.chunked = false;
+        exchange.chunks.reset();
         exchange.headers_complete = false;
         exchange.interim = is_interim(line);
         return line.size();
@@ -97,18 +121,50 @@
     }
     http_header field{std::string{line.substr(0, colon)},
                       std::string{trim_whitespace(line.substr(colon + 1))}};
-    if (header_name_equal(field.name, "transfer-encoding") &&
-        header_name_equal(field.value, "chunked")) {
-        exchange.chunked = true;
+    if (header_name_equal(field.name, "transfer-encoding")) {
+        // The request names no transfer coding that it accepts besides the implied chunked.
+        if (exchange.chunks || !header_name_equal(field.value, "chunked")) {
+            exchange.malformed = true;
+            return 0;
+        }
+        exchange.chunks.emplace(exchange.max_response_bytes);
     }
     exchange.result.response.headers.push_back(std::move(field));
     return line.size();
 }
 
+/// Returns whether the transfer may continue.
+bool decode_chunks(transfer& exchange, std::string_view received)
+{
+    exchange.chunked_bytes += received.size();
+    if (exchange.chunked_bytes / max_chunk_expansion > exchange.max_response_bytes) {
+        exchange.too_large = true;
+        return false;
+    }
+    exchange.undecoded.append(received);
+    switch (exchange.chunks->decode_from(exchange.undecoded)) {
+    case chunk_progress::incomplete:
+        return true;
+    case chunk_progress::complete:
+        exchange.chunks_complete = true;
+        return true;
+    case chunk_progress::malformed:
+        exchange.malformed = true;
+        return false;
+    case chunk_progress::too_large:
+        exchange.too_large = true;
+        return false;
+    }
+    return false;
+}
+
 std::size_t on_body(char* data, std::size_t size, std::size_t count, void* user)
 {
     auto& exchange = *static_cast<transfer*>(user);
     const std::size_t length = size * count;
+    if (exchange.chunks) {
+        return exchange.chunks_complete || decode_chunks(exchange, {data, length}) ? length : 0;
+    }
     if (exchange.result.response.body.size() + length > exchange.max_response_bytes) {
         exchange.too_large = true;
         return 0;
@@ -145,14 +201,19 @@
     return CURL_SOCKOPT_OK;
 }
 
-bool body_is_framed(const transfer& exchange)
+/// Checks a body that libcurl takes to be complete.
+http_error check_framing(const transfer& exchange)
 {
     const int status = exchange.result.response.status;
-    if (exchange.chunked || exchange.request.method == "HEAD" || status == status_no_content ||
+    if (exchange.request.method == "HEAD" || status == status_no_content ||
         status == status_not_modified) {
-        return true;
+        return http_error::none;
+    }
+    if (exchange.chunks) {
+        return exchange.chunks_complete ? http_error::none : http_error::truncated;
     }
-    return find_header(exchange.result.response.headers, "content-length").has_value();
+    return find_header(exchange.result.response.headers, "content-length") ? http_error::none
+                                                                           : http_error::unframed;
 }
 
 http_error error_of(const transfer& exchange, CURLcode code)
@@ -163,7 +224,7 @@
                                                     : http_error::truncated;
     }
     if (code == CURLE_OK) {
-        return body_is_framed(exchange) ? http_error::none : http_error::unframed;
+        return check_framing(exchange);
     }
     if (!exchange.request_sent) {
         return http_error::connect_failed;
@@ -171,6 +232,9 @@
     if (exchange.too_large) {
         return http_error::too_large;
     }
+    if (exchange.malformed) {
+        return http_error::truncated;
+    }
     if (code == CURLE_OPERATION_TIMEDOUT) {
         return http_error::timed_out;
     }
@@ -289,6 +353,7 @@
     curl_easy_setopt(handle, CURLOPT_HEADERDATA, &exchange);
     curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, on_body);
     curl_easy_setopt(handle, CURLOPT_WRITEDATA, &exchange);
+    curl_easy_setopt(handle, CURLOPT_HTTP_TRANSFER_DECODING, 0L);
     if (exchange.request.method == "HEAD") {
         curl_easy_setopt(handle, CURLOPT_NOBODY, 1L);
     }
@@ -410,6 +475,9 @@
         long status = 0;
         curl_easy_getinfo(message->easy_handle, CURLINFO_RESPONSE_CODE, &status);
         ended->result.response.status = static_cast<int>(status);
+        if (ended->chunks) {
+            ended->result.response.body = std::move(ended->chunks->bytes());
+        }
         finish(ended->id, error_of(*ended, code));
     }
 }
--- a/unittests/transport/http_client_test.cpp
+++ b/unittests/transport/http_client_test.cpp
@@ -139,6 +139,13 @@
               http_error::truncated);
     EXPECT_EQ(error_after("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n12345\r\n"),
               http_error::truncated);
+    EXPECT_EQ(
+        error_after("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n12345\r\n0\r\n"),
+        http_error::truncated);
+    EXPECT_EQ(error_after("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n123456\r\n"),
+              http_error::truncated);
+    EXPECT_EQ(error_after("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n"),
+              http_error::truncated);
     EXPECT_EQ(error_after("HTTP/1.1 200 OK\r\n\r\n12345"), http_error::unframed);
     EXPECT_EQ(error_after("HTTP/1.1 200 OK\r\nContent-Le"), http_error::truncated);
     EXPECT_EQ(error_after("HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Cut: a"),
@@ -150,6 +157,23 @@
               http_error::too_large);
 }
 
+// Guards against a chunked body that is not delivered as its content alone.
+TEST(http_client, decodes_a_chunked_body)
+{
+    fake_server server{[](raw_socket& connection, int, int) {
+        return connection.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n") &&
+               connection.send("5;name=value\r\n12") && connection.send("345\r\n1\r\n6\r\n0\r") &&
+               connection.send("\nX-Trailer: x\r\n\r\n");
+    }};
+    const auto client = make_http_client();
+    for (int i = 0; i < 3; ++i) {
+        const auto result = get(*client, server.url());
+        EXPECT_EQ(result.error, http_error::none);
+        EXPECT_EQ(result.response.body, "123456");
+    }
+    EXPECT_EQ(server.connections(), 1);
+}
+
 // Guards against a request that was never sent but is reported as one that may have run.
 TEST(http_client, reports_a_refused_connection_as_connect_failed)
 {
@@ -258,6 +282,62 @@
     EXPECT_EQ(server.connections(), 2);
 }
 
+struct endless_result {
+    http_result result;
+    std::size_t sent_bytes = 0;
+};
+
+/// Sends a request to a server that sends the first bytes and then repeats the others until the
+/// client closes the connection.
+endless_result get_endless(const std::string& first, const std::string& repeated_text)
+{
+    constexpr std::size_t block_bytes = 65'536;
+    std::atomic<std::size_t> sent_bytes = 0;
+    endless_result ended;
+    {
+        fake_server server{[&](raw_socket& connection, int, int) {
+            connection.send(first);
+            const std::string block = repeated(repeated_text, block_bytes / repeated_text.size());
+            while (connection.send(block)) {
+                sent_bytes += block.size();
+            }
+            return false;
+        }};
+        const auto client = make_http_client();
+        ended.result = get(*client, server.url());
+    }
+    ended.sent_bytes = sent_bytes;
+    return ended;
+}
+
+// Guards against a response without an end that takes the memory or the time of the process until
+// the deadline.
+TEST(http_client, ends_a_response_that_has_no_end)
+{
+    // Twice the limit for chunked framing, and what the buffers of both sockets hold.
+    constexpr std::size_t max_bytes = 3 * default_response_limit;
+    const std::string status = "HTTP/1.1 200 OK\r\n";
+    const std::string chunked = status + "Transfer-Encoding: chunked\r\n\r\n";
+    const std::vector<std::pair<std::string, std::string>> responses{
+        {"", "x"},
+        {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+        {status + "X-Long: ", "x"},
+        {status, "X-Many: x\r\n"},
+        {status + "\r\n", "x"},
+        {chunked, "1\r\nx\r\n"},
+        {chunked + "1;", "x"},
+        {chunked + "0\r\n", "X-Trailer: x\r\n"},
+        {"HTTP/1.1 204 No Content\r\n\r\n", "x"},
+    };
+    for (const auto& [first, repeated_text] : responses) {
+        const auto ended = get_endless(first, repeated_text);
+        SCOPED_TRACE(first + repeated_text);
+        EXPECT_NE(ended.result.error, http_error::timed_out);
+        EXPECT_LT(ended.result.elapsed, long_timeout / 2.0);
+        EXPECT_LT(ended.sent_bytes, max_bytes);
+    }
+}
+
 // Guards against responses that are delivered to the wrong one of several concurrent requests.
 TEST(http_client, gives_each_request_its_own_response)
 {
