Bound the reported concurrency before it becomes a whole number

Cause: an upstream that names a very high rate limit gives a concurrency that no integer holds; the conversion is undefined. Change: the bound comes first; a member function without a caller goes.

--- a/include/chestnutstand/admission/admission_queue.h
+++ b/include/chestnutstand/admission/admission_queue.h
@@ -96,10 +96,6 @@
     /// upstream is likely to be faster.
     bool is_delayed_by_rate_limit(std::size_t priority, time_point now);
 
-    /// Counts a request to the upstream that does not pass through the queue against the rate
-    /// limit. Returns false if it must not be sent now.
-    bool try_take_rate(time_point now) { return rate_limit_.try_take(now); }
-
     /// Admits, queues or refuses a request. Ids must be unique among all requests in the queue.
     offer_result offer(std::uint64_t id, std::size_t priority, time_point deadline, time_point now);
 
--- a/lib/admission/admission_queue.cpp
+++ b/lib/admission/admission_queue.cpp
@@ -465,8 +465,9 @@
     load.limit = limit_.value();
     if (rate_limit_.per_second()) {
         const double at_once = *rate_limit_.per_second() / ms_per_second * service_time_.mean();
-        load.limit = std::clamp(static_cast<std::uint32_t>(std::lround(std::ceil(at_once))), 1U,
-                                std::max(1U, load.limit));
+        const double limit =
+            std::clamp(std::ceil(at_once), 1.0, std::max(1.0, static_cast<double>(load.limit)));
+        load.limit = static_cast<std::uint32_t>(limit);
         load.in_flight =
             rate_limit_.allows(now) ? load.in_flight : std::max(load.in_flight, load.limit);
     }
--- a/unittests/admission/rate_limit_test.cpp
+++ b/unittests/admission/rate_limit_test.cpp
@@ -7,6 +7,8 @@
 
 #include <algorithm>
 #include <deque>
+#include <limits>
+#include <utility>
 
 namespace chestnutstand {
 namespace {
@@ -115,6 +117,8 @@
     EXPECT_LT(queue_.report(now_).limit, slots);
     advance(milliseconds{100});
     EXPECT_LT(queue_.report(now_).in_flight, queue_.report(now_).limit);
+    queue_.set_rate_limit(std::numeric_limits<double>::max(), now_);
+    EXPECT_LE(queue_.report(now_).limit, slots);
     queue_.set_rate_limit(std::nullopt, now_);
     EXPECT_EQ(queue_.report(now_).limit, slots);
 }
