Limit the start of a response of the store, not its transfer

The document has 1,780 routes there, and links have 10 Mbit/s.

A waiting read is replaced 1 s after a peer's document, not 0.5 s, as its response may be on the way.

--- a/include/chestnutstand/config/record_follower.h
+++ b/include/chestnutstand/config/record_follower.h
@@ -28,7 +28,7 @@
     /// Waiting time of one long poll of a standby.
     milliseconds standby_read_wait{20'000};
     /// Time that the store gets to answer a waiting read with a record that a peer already has.
-    milliseconds lost_read_grace{500};
+    milliseconds lost_read_grace{1'000};
     /// Time limit of one fetch from a peer.
     milliseconds fetch_timeout{500};
     /// Delay after a failed read; doubled with each further failure, up to the limit of the role.
--- a/include/chestnutstand/transport/call.h
+++ b/include/chestnutstand/transport/call.h
@@ -32,6 +32,9 @@
     /// none. A connection that delivers a mismatched response is not reused, as the response to
     /// this request may still arrive on it.
     std::string echoed_header{};
+    /// Time in which the response has to begin; 0 for no limit besides that of the whole exchange.
+    /// A short one detects a lost response without a limit of the time that a long one takes.
+    milliseconds response_start_timeout{0};
 };
 
 struct http_response {
--- a/lib/transport/curl_client.cpp
+++ b/lib/transport/curl_client.cpp
@@ -315,6 +315,9 @@
     bool has_commands();
     void add(std::unique_ptr<transfer> exchange);
     void finish_completed();
+    /// Ends the transfers whose response has not begun in time. Returns the time until the next one
+    /// may have to end.
+    milliseconds finish_silent();
     void finish(request_id id, http_error error);
     void cancel_all();
 
@@ -327,8 +330,10 @@
     std::vector<std::unique_ptr<transfer>> added_;
     std::vector<request_id> cancelled_;
     std::vector<CURL*> idle_handles_;
-    /// Accessed only by the client's thread.
+    /// Accessed only by the client's thread, like the next one.
     std::unordered_map<request_id, std::unique_ptr<transfer>> running_;
+    /// Transfers with a limit for the start of their response.
+    std::vector<std::pair<request_id, time_point>> response_start_limits_;
 };
 
 void curl_client::configure(transfer& exchange, const std::string& base_url, milliseconds timeout)
@@ -424,7 +429,8 @@
         if (has_commands()) {
             continue;
         }
-        curl_multi_poll(multi_, nullptr, 0, poll_timeout_ms, nullptr);
+        const double wait = std::min<double>(poll_timeout_ms, finish_silent().count());
+        curl_multi_poll(multi_, nullptr, 0, static_cast<int>(std::ceil(wait)), nullptr);
     }
     cancel_all();
 }
@@ -459,6 +465,10 @@
 {
     curl_multi_add_handle(multi_, exchange->handle);
     const request_id id = exchange->id;
+    if (exchange->request.response_start_timeout > milliseconds{0}) {
+        response_start_limits_.emplace_back(id, exchange->started +
+                                                    exchange->request.response_start_timeout);
+    }
     running_.emplace(id, std::move(exchange));
 }
 
@@ -482,6 +492,30 @@
     }
 }
 
+milliseconds curl_client::finish_silent()
+{
+    const time_point now = ms_clock::now();
+    milliseconds next{poll_timeout_ms};
+    std::vector<request_id> silent;
+    std::erase_if(response_start_limits_, [&](const auto& limit) {
+        const auto found = running_.find(limit.first);
+        if (found == running_.end() || found->second->header_bytes > 0) {
+            return true;
+        }
+        if (now >= limit.second) {
+            silent.push_back(limit.first);
+            return true;
+        }
+        next = std::min(next, limit.second - now);
+        return false;
+    });
+    for (const request_id id : silent) {
+        finish(id, http_error::timed_out);
+    }
+    // The callbacks may have sent requests, which the poll does not notice on this thread.
+    return silent.empty() ? next : milliseconds{0};
+}
+
 void curl_client::finish(request_id id, http_error error)
 {
     const auto found = running_.find(id);
--- a/unittests/transport/http_client_test.cpp
+++ b/unittests/transport/http_client_test.cpp
@@ -282,6 +282,36 @@
     EXPECT_EQ(server.connections(), 2);
 }
 
+// Guards against a lost response that is noticed only at the limit of the whole exchange, and
+// against a long response that is ended although it has begun in time.
+TEST(http_client, limits_the_start_of_a_response)
+{
+    constexpr milliseconds limit{100};
+    fake_server server{[&](raw_socket& connection, int number, int) {
+        if (number == 0) {
+            return true;
+        }
+        connection.send("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n12");
+        std::this_thread::sleep_for(limit * 2.0);
+        return connection.send("34");
+    }};
+    const auto client = make_http_client();
+    const auto send = [&] {
+        std::promise<http_result> ended;
+        http_request request{"GET", "/", {}, "", false};
+        request.response_start_timeout = limit;
+        client->send(server.url(), std::move(request), long_timeout,
+                     [&](http_result result) { ended.set_value(std::move(result)); });
+        return ended.get_future().get();
+    };
+    const auto lost = send();
+    EXPECT_EQ(lost.error, http_error::timed_out);
+    EXPECT_LT(lost.elapsed, long_timeout / 2.0);
+    const auto late = send();
+    EXPECT_EQ(late.error, http_error::none);
+    EXPECT_EQ(late.response.body, "1234");
+}
+
 struct endless_result {
     http_result result;
     std::size_t sent_bytes = 0;
