--- a/unittests/node/repeated_refusal_test.cpp
+++ b/unittests/node/repeated_refusal_test.cpp
@@ -152,5 +152,24 @@
     }
 }
 
+// Guards against a request that is lost because it is sent on a connection on which the repeated
+// refusal already lies, although a new connection would serve it.
+TEST_F(repeated_refusal_test, in_an_idle_connection_does_not_disturb_the_next_request)
+{
+    for (const auto when : {repetition::with_the_first, repetition::in_the_idle_time}) {
+        for (const std::string& header : {id_header("1"), std::string{}}) {
+            repeating_upstream upstream{when, header};
+            const auto client = make_http_client();
+            executor fresh_executor{
+                own_instance, *client, stats_, keys_, [this] { return document_; }, names()};
+            fresh_executor.set_upstream(local_upstream{"ledger", upstream.url(), 2, ""});
+            EXPECT_EQ(execute_at_most_once(fresh_executor, "1").outcome, call_outcome::not_run);
+            std::this_thread::sleep_for(std::chrono::milliseconds{50});
+            EXPECT_EQ(execute_at_most_once(fresh_executor, "2").outcome, call_outcome::completed);
+            EXPECT_EQ(upstream.runs(), 1);
+        }
+    }
+}
+
 } // namespace
 } // namespace chestnutstand
