Serve documents with downloads and with unknown kinds of routes

Cause: routes of kind "download" were refused, and with them the whole document, as any name that this version does not know; a node without a document serves nothing. Change: downloads are read as idempotent requests of their own kind.

--- a/include/chestnutstand/config/document.h
+++ b/include/chestnutstand/config/document.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "chestnutstand/support/clock.h"
+#include "chestnutstand/support/name_table.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -52,6 +53,16 @@
     double weight = 1.0;
 };
 
+/// What the operators say about the requests of a route.
+enum class request_kind : std::uint8_t {
+    non_idempotent, ///< May run once at most.
+    idempotent,
+    download, ///< Idempotent, with large responses.
+};
+
+inline constexpr name_table<request_kind, 3> request_kind_names{
+    {"non_idempotent", "idempotent", "download"}};
+
 /// How requests to one host whose path has one prefix are handled.
 struct route {
     std::string name;
@@ -69,8 +80,10 @@
     std::uint32_t attempts = 1;
     /// Rank of the priority class; 0 is the most urgent.
     std::uint32_t rank = 0;
+    request_kind kind = request_kind::non_idempotent;
+
     /// Whether a request may run more than once.
-    bool idempotent = false;
+    bool idempotent() const { return kind != request_kind::non_idempotent; }
 
     /// Service of a request; position, in [0, 1), selects the target within the weights of the
     /// split.
@@ -94,6 +107,8 @@
     std::vector<service_config> services;
     std::vector<route> routes;
     caller_limits limits;
+    /// Names in the document that this version does not know, with what they are read as.
+    std::vector<std::string> unknown_names;
     /// Indexes of the routes of each host, the longest path prefix first; built by index_routes().
     std::unordered_map<std::string, std::vector<std::size_t>> routes_by_host;
 
--- a/include/chestnutstand/config/record_follower.h
+++ b/include/chestnutstand/config/record_follower.h
@@ -84,6 +84,7 @@
     void update_store_state(const absl::Status& status);
     void count_read(read_end end);
     void log_failed_read(const absl::Status& status, time_point started) const;
+    void report_unknown_names(const document& accepted) const;
     bool apply(const std::string& text, const char* source);
     void fetch();
     void finish_fetch(const node_reference& peer, const absl::StatusOr<fetched_changes>& changes);
--- a/lib/config/document_parser.cpp
+++ b/lib/config/document_parser.cpp
@@ -87,15 +87,13 @@
 
 const schema::object_schema<route>& route_keys()
 {
-    const auto is_idempotent = [](const std::string& kind) { return kind == "idempotent"; };
     static const schema::object_schema<route> keys{
         schema::required(schema::text("name", name_format, &route::name)),
         schema::required(schema::text("host", host_format, &route::host)),
         schema::text("path_prefix", prefix_format, &route::path_prefix),
         schema::text("service", name_format, &route::service),
         schema::list("split", {0, 100}, route_target_keys(), &route::split),
-        schema::choice("kind", {"non_idempotent", "idempotent"}, 0, &route::idempotent,
-                       is_idempotent),
+        schema::enumeration("kind", request_kind_names, &route::kind),
         schema::number("timeout_ms", "ms", {1, 600'000}, &route::timeout),
         schema::number("latency_target_ms", "ms", {1, 600'000}, &route::latency_target),
         schema::integer("attempts", "", {1, 100}, &route::attempts),
@@ -192,7 +190,7 @@
     const std::string name = class_name_of(source);
     if (service.find_priority(name) == nullptr) {
         service.priorities.push_back(
-            {name, source.latency_target, 1.0, source.idempotent, source.rank});
+            {name, source.latency_target, 1.0, source.idempotent(), source.rank});
     }
 }
 
@@ -311,9 +309,10 @@
         return value.status();
     }
     json_location root{std::string{source}, ""};
-    // A newer author of the record may add keys that this version does not know.
+    // A newer author of the record may use keys and names that this version does not know.
     root.unknown_keys_allowed = true;
     document result;
+    root.unknown_names = &result.unknown_names;
     if (auto status = schema::read_object(record_keys(), *value, root, result); !status.ok()) {
         return status;
     }
--- a/lib/config/json_text.cpp
+++ b/lib/config/json_text.cpp
@@ -112,12 +112,12 @@
 json_location json_location::key(std::string_view name) const
 {
     return {source, path.empty() ? std::string{name} : str_cat(path, ".", name),
-            unknown_keys_allowed};
+            unknown_keys_allowed, unknown_names};
 }
 
 json_location json_location::element(std::size_t index) const
 {
-    return {source, str_cat(path, "[", index, "]"), unknown_keys_allowed};
+    return {source, str_cat(path, "[", index, "]"), unknown_keys_allowed, unknown_names};
 }
 
 absl::Status invalid_value(const json_location& at, std::string_view problem)
--- a/lib/config/json_text.h
+++ b/lib/config/json_text.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace chestnutstand {
 
@@ -18,6 +19,9 @@
     std::string path;
     /// Whether keys that the schema does not list are ignored rather than refused.
     bool unknown_keys_allowed = false;
+    /// Receives a message for each name that the schema does not list and reads as its fallback.
+    /// Null if such names are refused.
+    std::vector<std::string>* unknown_names = nullptr;
 
     /// Location of a member of this object.
     json_location key(std::string_view name) const;
--- a/lib/config/record_follower.cpp
+++ b/lib/config/record_follower.cpp
@@ -188,6 +188,17 @@
                {"version", version_}});
 }
 
+void record_follower::report_unknown_names(const document& accepted) const
+{
+    stats_.counter("chestnutstand_document_unknown_names") = accepted.unknown_names.size();
+    if (!accepted.unknown_names.empty()) {
+        log_event(log_level::warning, "document has unknown names",
+                  {{"version", accepted.version},
+                   {"count", static_cast<std::uint64_t>(accepted.unknown_names.size())},
+                   {"first", accepted.unknown_names.front()}});
+    }
+}
+
 /// Returns whether the record brought a new document into force.
 bool record_follower::apply(const std::string& text, const char* source)
 {
@@ -205,6 +216,7 @@
     version_ = parsed->version;
     record_text_ = text;
     const std::size_t routes = parsed->routes.size();
+    report_unknown_names(*parsed);
     current_.store(std::make_shared<const document>(*std::move(parsed)));
     log_event(log_level::info, "document in force",
               {{"source", std::string{source}},
--- a/lib/config/schema.h
+++ b/lib/config/schema.h
@@ -4,6 +4,7 @@
 
 #include "chestnutstand/config/key_description.h"
 #include "chestnutstand/support/clock.h"
+#include "chestnutstand/support/name_table.h"
 #include "chestnutstand/support/str_cat.h"
 
 #include <absl/status/status.h>
@@ -11,6 +12,7 @@
 #include <cmath>
 #include <cstddef>
 #include <functional>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -157,6 +159,36 @@
     return rule;
 }
 
+/// A text that names a value of an enumeration. Where unknown names are allowed, they are read as
+/// the default of the member, which must be the value that is safe whatever the name means.
+template <typename T, typename Enum, std::size_t Size>
+key_rule<T> enumeration(std::string_view name, const name_table<Enum, Size>& names, Enum T::*member)
+{
+    std::string expected;
+    for (std::size_t i = 0; i < Size; ++i) {
+        expected += str_cat(expected.empty() ? "" : ", ", names.name(static_cast<Enum>(i)));
+    }
+    const std::string fallback{names.name(T{}.*member)};
+    key_rule<T> rule;
+    rule.description = {std::string{name}, "string", "", expected, fallback};
+    rule.read = [names, expected, fallback, member](const nlohmann::json& value,
+                                                    const json_location& at, T& out) {
+        const auto found = value.is_string() ? names.find(value.get_ref<const std::string&>())
+                                             : std::optional<Enum>{};
+        if (found) {
+            out.*member = *found;
+            return absl::OkStatus();
+        }
+        auto refusal = invalid_value(at, str_cat("one of ", expected), value);
+        if (!value.is_string() || at.unknown_names == nullptr) {
+            return refusal;
+        }
+        at.unknown_names->push_back(str_cat(refusal.message(), ", read as ", fallback));
+        return absl::OkStatus();
+    };
+    return rule;
+}
+
 template <typename T>
 key_rule<T> required(key_rule<T> rule)
 {
--- a/lib/node/call_parser.cpp
+++ b/lib/node/call_parser.cpp
@@ -148,7 +148,7 @@
     service_call result;
     result.service = matched->service_at(position);
     result.priority = class_name_of(*matched);
-    result.repeat = matched->idempotent ? repeatability::repeatable : repeatability::at_most_once;
+    result.repeat = matched->idempotent() ? repeatability::repeatable : repeatability::at_most_once;
     result.retry_budget = matched->attempts - 1;
     result.deadline = now + matched->timeout;
     const auto max_timeout_ms = static_cast<std::uint32_t>(max_timeout.count());
--- a/tests/integration/command_line_test.cpp
+++ b/tests/integration/command_line_test.cpp
@@ -126,6 +126,14 @@
         {"name": "s", "priorities": [{"name": "p"}]}]})");
     EXPECT_EQ(run("check document " + valid + " " + duplicate).status, 3);
     EXPECT_EQ(run("check settings " + (directory_ / "missing").string()).status, 1);
+    const auto record = write_file("record.json", R"({"version": 4, "services": [{"name": "s"}],
+        "routes": [{"name": "r", "host": "h", "service": "s", "kind": "later"}]})");
+    const auto accepted = run("check record " + record);
+    EXPECT_EQ(accepted.status, 0);
+    EXPECT_NE(accepted.output.find("warning: " + record + ": routes[0].kind: expected one of "),
+              std::string::npos)
+        << accepted.output;
+    EXPECT_EQ(run("check record " + valid).status, 3);
 }
 
 // Guards against an unreachable node being reported as success or as a usage error.
--- a/tools/chestnutstand/check.cpp
+++ b/tools/chestnutstand/check.cpp
@@ -40,13 +40,36 @@
     return exit_success;
 }
 
+/// Checks a document that its operator keeps in one record.
+int check_record(const std::string& file)
+{
+    const auto text = read_file(file);
+    if (!text.ok()) {
+        return fail_with(text.status());
+    }
+    const auto document = parse_record(*text, file);
+    if (!document.ok()) {
+        return fail_with(document.status());
+    }
+    for (const auto& unknown : document->unknown_names) {
+        std::cerr << "warning: " << unknown << '\n';
+    }
+    std::cout << "record is valid: version " << document->version << ", "
+              << document->services.size() << " service(s), " << document->routes.size()
+              << " route(s)\n";
+    return exit_success;
+}
+
 class check_command : public subcommand {
 public:
     std::string_view summary() const override
     {
-        return "check a settings file, or files with one section of the document each";
+        return "check a settings file, files with one section of the document each, or a record";
+    }
+    std::string_view arguments() const override
+    {
+        return "settings FILE | document FILE... | record FILE";
     }
-    std::string_view arguments() const override { return "settings FILE | document FILE..."; }
     std::vector<command_option> options() override { return {}; }
 
     int run(const std::vector<std::string>& arguments) override
@@ -54,10 +77,14 @@
         if (arguments.size() == 2 && arguments[0] == "settings") {
             return check_settings(arguments[1]);
         }
+        if (arguments.size() == 2 && arguments[0] == "record") {
+            return check_record(arguments[1]);
+        }
         if (arguments.size() >= 2 && arguments[0] == "document") {
             return check_document({arguments.begin() + 1, arguments.end()});
         }
-        return fail(exit_usage, "expected check settings FILE or check document FILE...");
+        return fail(exit_usage,
+                    "expected check settings FILE, check document FILE... or check record FILE");
     }
 };
 
--- a/unittests/config/document_test.cpp
+++ b/unittests/config/document_test.cpp
@@ -43,10 +43,10 @@
     EXPECT_EQ(parsed->version, 7U);
     EXPECT_EQ(parsed->find_service("ledger")->max_connections, 220U);
     const route& first = parsed->routes.front();
-    EXPECT_TRUE(first.idempotent);
+    EXPECT_TRUE(first.idempotent());
     EXPECT_EQ(first.timeout, milliseconds{800});
     EXPECT_EQ(first.attempts, 2U);
-    EXPECT_FALSE(parsed->routes[2].idempotent);
+    EXPECT_FALSE(parsed->routes[2].idempotent());
 }
 
 // Guards against invalid records that are accepted.
@@ -67,6 +67,44 @@
         "route pay: expected either a service or a split with weight");
 }
 
+// Guards against downloads that end the service of all routes, or run at most once.
+TEST(record, reads_downloads_as_idempotent)
+{
+    const auto parsed = parse_record(with_replaced("\"idempotent\"", "\"download\""), "record");
+    ASSERT_TRUE(parsed.ok()) << parsed.status();
+    EXPECT_EQ(parsed->routes.front().kind, request_kind::download);
+    EXPECT_TRUE(parsed->routes.front().idempotent());
+    EXPECT_TRUE(parsed->unknown_names.empty());
+}
+
+// Guards against one route of a newer author that ends the service of all routes, and against an
+// unknown kind whose requests may run more than once.
+TEST(record, reads_an_unknown_kind_as_non_idempotent)
+{
+    const auto parsed = parse_record(with_replaced("\"idempotent\"", "\"replay\""), "record");
+    ASSERT_TRUE(parsed.ok()) << parsed.status();
+    EXPECT_EQ(parsed->routes.size(), 3U);
+    EXPECT_FALSE(parsed->routes.front().idempotent());
+    ASSERT_EQ(parsed->unknown_names.size(), 1U);
+    EXPECT_EQ(parsed->unknown_names.front(),
+              "record: routes[0].kind: expected one of non_idempotent, idempotent, download, found "
+              "\"replay\", read as non_idempotent");
+    EXPECT_NE(error_of(with_replaced("\"idempotent\"", "7")), "");
+}
+
+// Guards against a publisher who is not told of a misspelt kind.
+TEST(section, refuses_an_unknown_kind)
+{
+    const auto parsed = parse_section(
+        R"({"owner": "team", "services": [{"name": "ledger", "priorities": [{"name": "read"}]}],
+            "routes": [{"name": "view", "host": "h", "service": "ledger", "kind": "replay"}]})",
+        "section");
+    EXPECT_EQ(
+        parsed.status().message(),
+        "section: routes[0].kind: expected one of non_idempotent, idempotent, download, found "
+        "\"replay\"");
+}
+
 // Guards against a shorter matching prefix, or one of another host, that is preferred.
 TEST(record, finds_the_route_with_the_longest_prefix)
 {
--- a/unittests/config/record_follower_test.cpp
+++ b/unittests/config/record_follower_test.cpp
@@ -171,6 +171,25 @@
     EXPECT_EQ(version(), 6U);
 }
 
+// Guards against a node without a document because one route has a kind that it does not know, and
+// against an operator who cannot see that.
+TEST_F(record_follower_test, reports_unknown_names_of_the_document_in_force)
+{
+    const auto read = store_.next();
+    const std::string text =
+        R"({"version": 3, "services": [{"name": "s"}], "routes":
+            [{"name": "r", "host": "h", "service": "s", "kind": "later"}]})";
+    read.done(keyed_page{{{"k", text, 4}}, 5});
+    store_.next().done(keyed_page{{}, 5});
+    EXPECT_EQ(version(), 3U);
+    auto& unknown = stats_.counter("chestnutstand_document_unknown_names");
+    EXPECT_EQ(unknown.load(), 1U);
+    store_.next().done(keyed_page{{{"k", record_of(4), 5}}, 6});
+    store_.next();
+    EXPECT_EQ(version(), 4U);
+    EXPECT_EQ(unknown.load(), 0U);
+}
+
 // Guards against a node that keeps polling from an offset whose records the store has dropped.
 TEST_F(record_follower_test, reads_the_newest_again_when_records_are_gone)
 {
