Do not send requests on connections that hold unread bytes

Callers saw: after an upstream had sent a second copy of a response, late, on a kept connection, the next request was sent on it; the copy was taken for its response, and its outcome became unknown. For a request between nodes or to the store, which echo no id, the copy was delivered as its response. Cause: libcurl reuses a pooled connection with bytes to read. Change: right before a request is sent, the chosen connection is checked for bytes or an end of the stream, and replaced by a new one. libcurl does not tell which socket it has chosen, so the client keeps its sockets by their endpoints.

--- a/lib/transport/curl_client.cpp
+++ b/lib/transport/curl_client.cpp
@@ -1,4 +1,5 @@
 #include "chunked_body.h"
+#include "client_sockets.h"
 
 #include "chestnutstand/transport/headers.h"
 #include "chestnutstand/transport/http_client.h"
@@ -49,9 +50,15 @@
     http_client::http_done done;
     http_result result;
     time_point started;
+    milliseconds timeout{0};
     CURL* handle = nullptr;
+    /// Sockets of the client that runs the transfer.
+    client_sockets* sockets = nullptr;
     curl_slist* headers = nullptr;
     bool request_sent = false;
+    /// The connection chosen for the request was closed by the server, or has bytes to read that
+    /// belong to no request. Nothing was sent on it.
+    bool connection_unusable = false;
     bool headers_complete = false;
     /// The current header block belongs to an interim (1xx) response.
     bool interim = false;
@@ -174,13 +181,20 @@
 }
 
 // libcurl silently resends a request when a pooled connection closes without a response. The server
-// may have run the request, so a second start of the same transfer is aborted.
-int on_request_start(void* user, char*, char*, int, int)
+// may have run the request, so a second start of the same transfer is aborted. libcurl also reuses
+// a pooled connection on which a response already lies, and would take it for that of the request.
+int on_request_start(void* user, char* peer_address, char* /*local_address*/, int peer_port,
+                     int local_port)
 {
     auto& exchange = *static_cast<transfer*>(user);
     if (exchange.request_sent) {
         return CURL_PREREQFUNC_ABORT;
     }
+    exchange.connection_unusable =
+        exchange.sockets->has_unexpected_input({peer_address, peer_port, local_port});
+    if (exchange.connection_unusable) {
+        return CURL_PREREQFUNC_ABORT;
+    }
     exchange.request_sent = true;
     return CURL_PREREQFUNC_OK;
 }
@@ -201,6 +215,17 @@
     return CURL_SOCKOPT_OK;
 }
 
+curl_socket_t open_socket(void* user, curlsocktype /*purpose*/, curl_sockaddr* address)
+{
+    return static_cast<client_sockets*>(user)->open(address->family, address->socktype,
+                                                    address->protocol);
+}
+
+int close_socket(void* user, curl_socket_t socket)
+{
+    return static_cast<client_sockets*>(user)->close(socket);
+}
+
 /// Checks a body that libcurl takes to be complete.
 http_error check_framing(const transfer& exchange)
 {
@@ -284,6 +309,7 @@
         exchange->done = std::move(done);
         exchange->max_response_bytes = max_response_bytes_;
         exchange->started = ms_clock::now();
+        exchange->timeout = timeout;
         exchange->handle = acquire_handle();
         configure(*exchange, base_url, timeout);
         request_id id = 0;
@@ -306,7 +332,7 @@
     }
 
 private:
-    static void configure(transfer& exchange, const std::string& base_url, milliseconds timeout);
+    void configure(transfer& exchange, const std::string& base_url, milliseconds timeout);
     void run();
     void wake();
     CURL* acquire_handle();
@@ -315,6 +341,9 @@
     bool has_commands();
     void add(std::unique_ptr<transfer> exchange);
     void finish_completed();
+    /// Starts a transfer again, on a new connection, whose pooled connection was unusable. Returns
+    /// false if its time has passed.
+    bool restart(transfer& exchange);
     /// Ends the transfers whose response has not begun in time. Returns the time until the next one
     /// may have to end.
     milliseconds finish_silent();
@@ -330,7 +359,8 @@
     std::vector<std::unique_ptr<transfer>> added_;
     std::vector<request_id> cancelled_;
     std::vector<CURL*> idle_handles_;
-    /// Accessed only by the client's thread, like the next one.
+    /// Accessed only by the client's thread, like the next two.
+    client_sockets sockets_;
     std::unordered_map<request_id, std::unique_ptr<transfer>> running_;
     /// Transfers with a limit for the start of their response.
     std::vector<std::pair<request_id, time_point>> response_start_limits_;
@@ -339,6 +369,7 @@
 void curl_client::configure(transfer& exchange, const std::string& base_url, milliseconds timeout)
 {
     CURL* handle = exchange.handle;
+    exchange.sockets = &sockets_;
     const std::string url = base_url + exchange.request.target;
     curl_easy_setopt(handle, CURLOPT_URL, url.c_str());
     curl_easy_setopt(handle, CURLOPT_PRIVATE, &exchange);
@@ -351,6 +382,10 @@
     curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, connect_timeout_ms);
     curl_easy_setopt(handle, CURLOPT_MAXAGE_CONN, max_connection_idle_s);
     curl_easy_setopt(handle, CURLOPT_SOCKOPTFUNCTION, set_socket_options);
+    curl_easy_setopt(handle, CURLOPT_OPENSOCKETFUNCTION, open_socket);
+    curl_easy_setopt(handle, CURLOPT_OPENSOCKETDATA, &sockets_);
+    curl_easy_setopt(handle, CURLOPT_CLOSESOCKETFUNCTION, close_socket);
+    curl_easy_setopt(handle, CURLOPT_CLOSESOCKETDATA, &sockets_);
     curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, exchange.request.fresh_connection ? 1L : 0L);
     curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, on_request_start);
     curl_easy_setopt(handle, CURLOPT_PREREQDATA, &exchange);
@@ -482,6 +517,9 @@
         const CURLcode code = message->data.result;
         transfer* ended = nullptr;
         curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &ended);
+        if (ended->connection_unusable && restart(*ended)) {
+            continue;
+        }
         long status = 0;
         curl_easy_getinfo(message->easy_handle, CURLINFO_RESPONSE_CODE, &status);
         ended->result.response.status = static_cast<int>(status);
@@ -492,6 +530,20 @@
     }
 }
 
+bool curl_client::restart(transfer& exchange)
+{
+    const milliseconds left = exchange.timeout - (ms_clock::now() - exchange.started);
+    if (left < milliseconds{1}) {
+        return false;
+    }
+    exchange.connection_unusable = false;
+    curl_multi_remove_handle(multi_, exchange.handle);
+    curl_easy_setopt(exchange.handle, CURLOPT_FRESH_CONNECT, 1L);
+    curl_easy_setopt(exchange.handle, CURLOPT_TIMEOUT_MS, std::lround(left.count()));
+    curl_multi_add_handle(multi_, exchange.handle);
+    return true;
+}
+
 milliseconds curl_client::finish_silent()
 {
     const time_point now = ms_clock::now();
--- a/unittests/transport/http_client_test.cpp
+++ b/unittests/transport/http_client_test.cpp
@@ -131,6 +131,30 @@
     return error;
 }
 
+// Guards against a request that is sent on a pooled connection on which a late copy of a response
+// lies, and against a new connection for each request.
+TEST(http_client, replaces_a_pooled_connection_with_unread_bytes)
+{
+    fake_server server{[](raw_socket& connection, int number, int) {
+        connection.send(ok("first"));
+        if (number == 0) {
+            std::this_thread::sleep_for(milliseconds{20});
+            connection.send(ok("copy"));
+        }
+        return true;
+    }};
+    const auto client = make_http_client();
+    EXPECT_EQ(get(*client, server.url()).response.body, "first");
+    std::this_thread::sleep_for(milliseconds{100});
+    for (int i = 0; i < 3; ++i) {
+        const auto next = get(*client, server.url());
+        EXPECT_EQ(next.error, http_error::none);
+        EXPECT_EQ(next.response.body, "first");
+    }
+    EXPECT_EQ(server.connections(), 2);
+    EXPECT_EQ(server.requests(), 4);
+}
+
 // Guards against a partial response that is taken for a complete one.
 TEST(http_client, refuses_responses_that_are_not_whole)
 {
