Show that a head cut off at any byte is no response

Ruled out by the test: a server that stops within the head of its response, also behind an interim response. Both hops use this client.

--- a/unittests/transport/http_client_test.cpp
+++ b/unittests/transport/http_client_test.cpp
@@ -131,6 +131,27 @@
     return error;
 }
 
+// Guards against a head that was cut off and is taken for that of a complete or empty response: by
+// a server that stops anywhere within it, also behind an interim response.
+TEST(http_client, refuses_a_head_that_is_cut_at_any_byte)
+{
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    const std::string hints = "HTTP/1.1 103 Early Hints\r\nContent-Length: 0\r\n\r\n";
+    for (const std::string& head :
+         {std::string{"HTTP/1.1 200 OK\r\nContent-Length: 11\r\nServer: s\r\n\r\n"},
+          std::string{"HTTP/1.1 200 OK\r\nServer: s\r\nConnection: close\r\n\r\n"},
+          std::string{"HTTP/1.1 200 OK\r\nServer: s\r\nTransfer-Encoding: chunked\r\n\r\n"},
+          std::string{"HTTP/1.1 204 No Content\r\nServer: s\r\n\r\n"},
+          interim + "HTTP/1.1 200 OK\r\nServer: s\r\n\r\n",
+          hints + "HTTP/1.1 200 OK\r\nServer: s\r\n\r\n"}) {
+        for (std::size_t cut = 0; cut < head.size(); ++cut) {
+            const auto error = error_after(head.substr(0, cut));
+            EXPECT_TRUE(error == http_error::connection_lost || error == http_error::truncated)
+                << "cut at byte " << cut << " of " << head;
+        }
+    }
+}
+
 // Guards against a request that is sent on a pooled connection on which a late copy of a response
 // lies, and against a new connection for each request.
 TEST(http_client, replaces_a_pooled_connection_with_unread_bytes)
