Ask the executor about an overdue call over a new connection

Callers saw: when connections between nodes fell silent, requests that may not be repeated ended as 502 after 0.75 s, though most had reached no upstream. Cause: the entry node waited for TCP to give the connection up, which takes 0.75 s; after that a call with a time limit of 1 s or less has no time left to be settled. Change: once a response is overdue, at twice the 95th percentile of its class and at least 150 ms, the node asks the executor over a new connection. A call that never arrived is fenced there and sent to another member on a new connection; a response that was lost is delivered; a call that waits or runs is left alone.

--- a/include/chestnutstand/keys/attempt_ledger.h
+++ b/include/chestnutstand/keys/attempt_ledger.h
@@ -6,12 +6,19 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 
 namespace chestnutstand {
 
+/// What a settlement does to a call that waits for a slot.
+enum class queued_attempt : std::uint8_t {
+    fence, ///< It will never start.
+    keep,  ///< It is reported as running and keeps its place.
+};
+
 /// Tracks the calls of an executor that run at most once and are identified by the request id of
 /// the caller's attempt. A node that lost its connection to the executor settles the id: a call
 /// that has not started is fenced and will never start, so the node may send it to another executor
@@ -37,8 +44,9 @@
     /// ledger holds too many response bytes; the call then settles as unknown.
     void finish(const std::string& id, const call_result& result, time_point now);
 
-    /// Returns the state of an id, and fences the id unless its call has started.
-    settle_result settle(const std::string& id, time_point now);
+    /// Returns the state of an id, and fences the id unless its call has started or is kept.
+    settle_result settle(const std::string& id, time_point now,
+                         queued_attempt queued = queued_attempt::fence);
 
     std::size_t size() const { return entries_.size(); }
 
@@ -64,18 +72,34 @@
 };
 
 inline constexpr std::string_view attempt_key_prefix = "attempt:";
+inline constexpr std::string_view overdue_attempt_key_prefix = "overdue-attempt:";
+
+/// A settle request between nodes that is for an attempt and not for an issued key.
+struct attempt_query {
+    std::string request_id;
+    queued_attempt queued = queued_attempt::fence;
+};
 
-/// Key text that a settle request between nodes carries for an attempt, in place of an issued key.
-inline std::string attempt_key(std::string_view request_id)
+/// Key text that a settle request carries for an attempt, in place of an issued key. A node that
+/// does not know the prefix takes it for an invalid key and refuses the request.
+inline std::string attempt_key(const attempt_query& query)
 {
-    return std::string{attempt_key_prefix}.append(request_id);
+    const auto prefix =
+        query.queued == queued_attempt::keep ? overdue_attempt_key_prefix : attempt_key_prefix;
+    return std::string{prefix}.append(query.request_id);
 }
 
-/// Request id in the key text of an attempt; empty when the text is an issued key.
-inline std::string_view request_id_of_attempt_key(std::string_view key)
+/// The query in a key text; empty when the text is an issued key.
+inline std::optional<attempt_query> parse_attempt_key(std::string_view key)
 {
-    return key.rfind(attempt_key_prefix, 0) == 0 ? key.substr(attempt_key_prefix.size())
-                                                 : std::string_view{};
+    for (const auto queued : {queued_attempt::fence, queued_attempt::keep}) {
+        const auto prefix =
+            queued == queued_attempt::keep ? overdue_attempt_key_prefix : attempt_key_prefix;
+        if (key.size() > prefix.size() && key.rfind(prefix, 0) == 0) {
+            return attempt_query{std::string{key.substr(prefix.size())}, queued};
+        }
+    }
+    return std::nullopt;
 }
 
 } // namespace chestnutstand
--- a/include/chestnutstand/node/executor.h
+++ b/include/chestnutstand/node/executor.h
@@ -81,9 +81,9 @@
 
     load_report report() const;
 
-    /// Returns the state of an at-most-once call by its request id, and fences the id if the call
-    /// has not started.
-    settle_result settle_attempt(const std::string& request_id);
+    /// Returns the state of an at-most-once call by its request id, and fences the id unless the
+    /// call has started or is kept.
+    settle_result settle_attempt(const attempt_query& query);
 
     /// Whether no call is queued, running or waiting for a slowdown probe.
     bool idle() const;
--- a/lib/keys/attempt_ledger.cpp
+++ b/lib/keys/attempt_ledger.cpp
@@ -55,11 +55,15 @@
     schedule_expiry(id, now + retention);
 }
 
-settle_result attempt_ledger::settle(const std::string& id, time_point now)
+settle_result attempt_ledger::settle(const std::string& id, time_point now, queued_attempt queued)
 {
     expire(now);
     const auto [found, is_new] = entries_.try_emplace(id);
     entry& attempt = found->second;
+    const bool waits = attempt.state == attempt_state::queued && !is_new;
+    if (waits && queued == queued_attempt::keep) {
+        return {settle_state::running, {}, reason_code::key_running, {}};
+    }
     if (attempt.state == attempt_state::queued) {
         attempt.state = attempt_state::fenced;
         schedule_expiry(id, now + retention);
--- a/lib/node/components/node_endpoint_component.cpp
+++ b/lib/node/components/node_endpoint_component.cpp
@@ -40,8 +40,8 @@
         if (target_instance != node_.instance()) {
             return settle_result{settle_state::wrong_instance, {}, reason_code::wrong_instance, {}};
         }
-        if (const auto attempt = request_id_of_attempt_key(key); !attempt.empty()) {
-            return executor_.settle_attempt(std::string{attempt});
+        if (const auto attempt = parse_attempt_key(key)) {
+            return executor_.settle_attempt(*attempt);
         }
         return node_.get<executor_keys>().settle(key, ms_clock::now());
     }
--- a/lib/node/dispatched_call.h
+++ b/lib/node/dispatched_call.h
@@ -40,6 +40,8 @@
     /// Whether the call may wait for an upstream that is slow or limits its rate, because no other
     /// member is left.
     bool deferring_members_allowed = false;
+    /// Whether further attempts use new connections, because a pooled one did not deliver the call.
+    bool fresh_connections = false;
     /// One for each attempt, so that the attempts that a hedge overtakes can be cancelled.
     std::vector<std::shared_ptr<cancellation>> cancellations;
     /// Number of attempts that have been started.
--- a/lib/node/dispatcher.cpp
+++ b/lib/node/dispatcher.cpp
@@ -1,10 +1,9 @@
 #include "chestnutstand/node/dispatcher.h"
 
 #include "attempt_result.h"
-#include "dispatched_call.h"
+#include "dispatcher_core.h"
 #include "routed_call.h"
 
-#include "chestnutstand/keys/attempt_ledger.h"
 #include "chestnutstand/support/log.h"
 
 #include <absl/strings/str_cat.h>
@@ -28,9 +27,6 @@
 
 constexpr milliseconds probe_timeout{300};
 
-/// Covers a new connection and one response, also across regions.
-constexpr milliseconds settle_timeout{250};
-
 template <typename Entry>
 const Entry* find_named(const std::vector<Entry>& entries, std::string_view name)
 {
@@ -99,56 +95,17 @@
 
 } // namespace
 
-class dispatcher::core : public std::enable_shared_from_this<core> {
-public:
-    core(peer_client& peers, local_executor* local, const snapshot<routing_table>& routes,
-         const snapshot<document>& configuration, metrics& counters,
-         const dispatcher_options& options)
-        : peers_{peers}, local_{local}, configuration_{configuration}, counters_{counters},
-          hedges_{counters.counter("chestnutstand_hedges_total")},
-          probes_{counters.counter("chestnutstand_peer_probes_total")}, options_{options},
-          selector_{routes, configuration, static_cast<const selector_options&>(options)}
-    {
-    }
-
-    void dispatch(const service_call& call, call_done done);
-    void execute_on(const node_reference& target, const service_call& call, call_done done)
-    {
-        send(selector_.find(call.service, target), call, call.retry_budget, false, call.cancel,
-             std::move(done));
-    }
-    upstream_selector& selector() { return selector_; }
-
-private:
-    using call_state = std::shared_ptr<dispatched_call>;
-
-    void refuse(reason_code reason, const call_done& done);
-    bool start_attempt(const call_state& state);
-    void finish_attempt(const call_state& state, std::uint32_t attempt_budget, std::uint64_t member,
-                        call_result result);
-    bool needs_settlement(const dispatched_call& state, const peer& target,
-                          const call_result& result) const;
-    void settle(const call_state& state, std::uint32_t attempt_budget,
-                const node_reference& target);
-    bool retry(const call_state& state, const call_result& result);
-    void schedule_time_limit(const call_state& state);
-    void schedule_hedge(const call_state& state);
-    void hedge(const call_state& state);
-    void send(const std::shared_ptr<peer>& target, const service_call& call,
-              std::uint32_t attempt_budget, bool movable,
-              const std::shared_ptr<cancellation>& cancel, call_done done);
-    void probe_stale_member(const std::string& service);
-
-    peer_client& peers_;
-    local_executor* local_;
-    const snapshot<document>& configuration_;
-    metrics& counters_;
-    std::atomic<std::uint64_t>& hedges_;
-    std::atomic<std::uint64_t>& probes_;
-    const dispatcher_options options_;
-    upstream_selector selector_;
-    std::atomic<std::uint64_t> next_request_{1};
-};
+dispatcher::core::core(peer_client& peers, local_executor* local,
+                       const snapshot<routing_table>& routes,
+                       const snapshot<document>& configuration, metrics& counters,
+                       const dispatcher_options& options)
+    : peers_{peers}, local_{local}, configuration_{configuration}, counters_{counters},
+      hedges_{counters.counter("chestnutstand_hedges_total")},
+      probes_{counters.counter("chestnutstand_peer_probes_total")}, options_{options},
+      selector_{routes, configuration, static_cast<const selector_options&>(options)},
+      overdue_queries_{options.now()}
+{
+}
 
 void dispatcher::core::refuse(reason_code reason, const call_done& done)
 {
@@ -179,13 +136,13 @@
     }
     const auto state = std::make_shared<dispatched_call>(call, std::move(done), idempotent);
     state->document_version = configuration->version;
+    if (routed) {
+        schedule_time_limit(state);
+    }
     if (!start_attempt(state)) {
         refuse(reason_code::no_route, state->done);
         return;
     }
-    if (routed) {
-        schedule_time_limit(state);
-    }
     schedule_hedge(state);
     probe_stale_member(call.service);
 }
@@ -220,11 +177,9 @@
 /// separate: retry() and hedge() take a token of it with take_retry() before.
 bool dispatcher::core::start_attempt(const call_state& state)
 {
-    std::shared_ptr<peer> target;
-    std::uint32_t attempt_budget = 0;
+    const auto attempt = std::make_shared<dispatched_attempt>();
     bool movable = false;
-    const bool routed = is_routed(state->call);
-    const auto cancel = std::make_shared<cancellation>();
+    bool fresh_connection = false;
     {
         const std::lock_guard lock{state->mutex};
         if (state->finished || state->placements >= attempt_limit) {
@@ -234,76 +189,55 @@
         if (!carried) {
             return false;
         }
-        attempt_budget = *carried;
+        attempt->budget = *carried;
         const service_call& call = state->call;
         const auto choose = [&] {
             return selector_.choose(call.service, call.priority, state->tried_members,
                                     state->queue_refusals);
         };
-        target = choose();
-        if (!target && state->allow_deferring_members()) {
-            target = choose();
+        attempt->target = choose();
+        if (!attempt->target && state->allow_deferring_members()) {
+            attempt->target = choose();
         }
-        if (!target) {
-            state->budget.give_back(attempt_budget);
+        if (!attempt->target) {
+            state->budget.give_back(attempt->budget);
             return false;
         }
         ++state->placements;
-        state->tried_members.push_back(target->node.instance);
-        movable = routed && !state->deferring_members_allowed && state->placements < move_limit;
-        state->cancellations.push_back(cancel);
+        state->tried_members.push_back(attempt->target->node.instance);
+        fresh_connection = state->fresh_connections;
+        movable =
+            is_routed(call) && !state->deferring_members_allowed && state->placements < move_limit;
+        state->cancellations.push_back(attempt->cancel);
         ++state->attempts_in_flight;
     }
     if (state->call.cancel) {
-        state->call.cancel->on_cancel([cancel] { cancel->cancel(); });
+        state->call.cancel->on_cancel([cancel = attempt->cancel] { cancel->cancel(); });
     }
-    send(target, state->call, attempt_budget, movable, cancel,
-         [self = shared_from_this(), state, attempt_budget, target](call_result result) {
-             if (self->needs_settlement(*state, *target, result)) {
-                 self->settle(state, attempt_budget, target->node);
+    service_call sent = state->call;
+    sent.movable = movable;
+    sent.request.fresh_connection = fresh_connection;
+    send(attempt->target, std::move(sent), attempt->budget, attempt->cancel,
+         [self = shared_from_this(), state, attempt](call_result result) {
+             if (result.reason == reason_code::peer_connection_lost &&
+                 self->may_be_settled(*state, *attempt)) {
+                 self->settle(state, attempt);
                  return;
              }
-             self->finish_attempt(state, attempt_budget, target->node.instance, std::move(result));
+             self->finish_attempt(state, attempt, std::move(result));
          });
+    if (options_.run_after && may_be_settled(*state, *attempt)) {
+        schedule_overdue_query(state, attempt, overdue_delay(*state));
+    }
     return true;
 }
 
-/// Returns true if the response of an at-most-once call was lost with the connection to another
-/// node and there is time to ask the executor there for the outcome.
-bool dispatcher::core::needs_settlement(const dispatched_call& state, const peer& target,
-                                        const call_result& result) const
-{
-    return state.call.repeat == repeatability::at_most_once &&
-           result.reason == reason_code::peer_connection_lost &&
-           target.node.instance != options_.self_instance &&
-           options_.now() + settle_timeout < state.call.deadline;
-}
-
-/// Asks the executor for the outcome of an at-most-once attempt. Such a call has no idempotency
-/// key; its request id stands in for one, in the request and in the reason key_fenced.
-void dispatcher::core::settle(const call_state& state, std::uint32_t attempt_budget,
-                              const node_reference& target)
-{
-    peers_.settle(target, attempt_key(state->call.request_id), settle_timeout,
-                  [self = shared_from_this(), state, attempt_budget,
-                   member = target.instance](absl::StatusOr<settle_result> settled) {
-                      call_result result = unknown_outcome(reason_code::peer_connection_lost);
-                      if (settled.ok() && settled->state == settle_state::completed) {
-                          result = {call_outcome::completed,
-                                    reason_code::none,
-                                    std::move(settled->response),
-                                    {}};
-                      }
-                      else if (settled.ok() && settled->state == settle_state::fenced) {
-                          result = not_run(reason_code::key_fenced);
-                      }
-                      self->finish_attempt(state, attempt_budget, member, std::move(result));
-                  });
-}
-
-void dispatcher::core::finish_attempt(const call_state& state, std::uint32_t attempt_budget,
-                                      std::uint64_t member, call_result result)
+void dispatcher::core::finish_attempt(const call_state& state, const attempt_state& attempt,
+                                      call_result result)
 {
+    if (attempt->ended.exchange(true)) {
+        return;
+    }
     const bool ends_call = is_final_response(*state, result);
     {
         const std::lock_guard lock{state->mutex};
@@ -311,13 +245,13 @@
         if (state->finished) {
             return;
         }
-        state->note_attempt(result, member);
+        state->note_attempt(result, attempt->target->node.instance);
         state->queue_refusals += refused_by_queue(result) ? 1 : 0;
         if (defers_call(result) && result.load) {
             state->deferring_members.push_back(result.load->instance);
         }
         if (!reached_upstream(result)) {
-            state->budget.give_back(attempt_budget);
+            state->budget.give_back(attempt->budget);
         }
         state->finished = ends_call;
         if (!ends_call) {
@@ -408,22 +342,20 @@
     hedges_.fetch_add(1);
 }
 
-void dispatcher::core::send(const std::shared_ptr<peer>& target, const service_call& call,
-                            std::uint32_t attempt_budget, bool movable,
+void dispatcher::core::send(const std::shared_ptr<peer>& target, service_call attempt,
+                            std::uint32_t attempt_budget,
                             const std::shared_ptr<cancellation>& cancel, call_done done)
 {
-    service_call attempt = call;
-    attempt.movable = movable;
     attempt.retry_budget = attempt_budget;
     attempt.cancel = cancel;
-    if (!is_routed(call)) {
+    if (!is_routed(attempt)) {
         attempt.request_id = std::to_string(options_.self_instance) + "-" +
                              std::to_string(next_request_.fetch_add(1));
     }
     const time_point sent = options_.now();
     target->load.begin_call(sent);
-    call_done record_result = [self = shared_from_this(), target, service = call.service,
-                               priority = call.priority, cancel, sent,
+    call_done record_result = [self = shared_from_this(), target, service = attempt.service,
+                               priority = attempt.priority, cancel, sent,
                                done = std::move(done)](call_result result) {
         if (result.outcome == call_outcome::unknown && cancel && cancel->cancelled()) {
             // The dispatcher or the caller cancelled the attempt; its result says nothing about the
--- /dev/null
+++ b/lib/node/dispatcher_settlement.cpp
@@ -0,0 +1,123 @@
+#include "dispatcher_core.h"
+
+#include "chestnutstand/keys/attempt_ledger.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+namespace chestnutstand {
+namespace {
+
+/// Covers a new connection and one response, also across regions.
+constexpr milliseconds settle_timeout{250};
+
+/// An attempt is overdue after this multiple of the 95th percentile of its class, or before there
+/// is one, after this share of the time that it has.
+constexpr double overdue_per_percentile = 2.0;
+constexpr double overdue_share_of_time = 0.25;
+/// Lower bound of the time after which an attempt is overdue: that after which a member with a call
+/// in flight counts as silent.
+constexpr milliseconds min_overdue{150};
+/// Result of an attempt from what its executor reports; empty while the call may still run.
+std::optional<call_result> result_of(const settle_result& settled)
+{
+    if (settled.state == settle_state::completed) {
+        return call_result{call_outcome::completed, reason_code::none, settled.response, {}};
+    }
+    if (settled.state == settle_state::fenced) {
+        return not_run(settled.reason);
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+/// Whether the executor of an attempt of an at-most-once call can be asked for its outcome: it is
+/// another node, and there is time to use the response.
+bool dispatcher::core::may_be_settled(const dispatched_call& state,
+                                      const dispatched_attempt& attempt) const
+{
+    return state.call.repeat == repeatability::at_most_once && !attempt.ended &&
+           attempt.target->node.instance != options_.self_instance &&
+           options_.now() + settle_timeout < state.call.deadline;
+}
+
+/// Asks the executor for the outcome of an attempt whose connection was lost. An at-most-once call
+/// has no idempotency key; its request id stands in for one, in the request and in the reason
+/// key_fenced.
+void dispatcher::core::settle(const call_state& state, const attempt_state& attempt)
+{
+    peers_.settle(
+        attempt->target->node, attempt_key({state->call.request_id, queued_attempt::fence}),
+        settle_timeout,
+        [self = shared_from_this(), state, attempt](const absl::StatusOr<settle_result>& settled) {
+            auto result = settled.ok() ? result_of(*settled) : std::nullopt;
+            self->finish_attempt(state, attempt,
+                                 result ? *std::move(result)
+                                        : unknown_outcome(reason_code::peer_connection_lost));
+        });
+}
+
+milliseconds dispatcher::core::overdue_delay(const dispatched_call& state)
+{
+    const auto percentile = selector_.hedge_delay(state.call.service, state.call.priority);
+    const milliseconds delay = percentile
+                                   ? *percentile * overdue_per_percentile
+                                   : (state.call.deadline - options_.now()) * overdue_share_of_time;
+    return std::max(delay, min_overdue);
+}
+
+/// An open connection to another node can stop delivering data without an error. The end of the
+/// connection is noticed too late for a second placement of a call with a short time limit, so that
+/// the executor is asked over a new connection once a response is overdue.
+void dispatcher::core::schedule_overdue_query(const call_state& state, const attempt_state& attempt,
+                                              milliseconds delay)
+{
+    options_.run_after(delay, [self = shared_from_this(), attempt, delay,
+                               weak_state = std::weak_ptr<dispatched_call>{state}] {
+        if (const call_state pending = weak_state.lock()) {
+            self->query_overdue(pending, attempt, delay);
+        }
+    });
+}
+
+void dispatcher::core::query_overdue(const call_state& state, const attempt_state& attempt,
+                                     milliseconds delay)
+{
+    if (!may_be_settled(*state, *attempt)) {
+        return;
+    }
+    if (!overdue_queries_.try_take(options_.now())) {
+        return;
+    }
+    peers_.settle(attempt->target->node,
+                  attempt_key({state->call.request_id, queued_attempt::keep}), settle_timeout,
+                  [self = shared_from_this(), state, attempt,
+                   delay](const absl::StatusOr<settle_result>& settled) {
+                      if (settled.ok()) {
+                          self->finish_overdue_query(state, attempt, *settled, delay);
+                      }
+                  });
+}
+
+void dispatcher::core::finish_overdue_query(const call_state& state, const attempt_state& attempt,
+                                            const settle_result& settled, milliseconds delay)
+{
+    auto result = result_of(settled);
+    if (!result) {
+        if (settled.state == settle_state::running) {
+            schedule_overdue_query(state, attempt, delay);
+        }
+        return;
+    }
+    if (result->outcome == call_outcome::not_run) {
+        const std::lock_guard lock{state->mutex};
+        state->fresh_connections = true;
+    }
+    finish_attempt(state, attempt, *std::move(result));
+    // Closes the connection, which lost the request or the response.
+    attempt->cancel->cancel();
+}
+
+} // namespace chestnutstand
--- a/lib/node/executor.cpp
+++ b/lib/node/executor.cpp
@@ -332,16 +332,17 @@
     }
 }
 
-settle_result executor::settle_attempt(const std::string& request_id)
+settle_result executor::settle_attempt(const attempt_query& query)
 {
     const auto now = ms_clock::now();
     settle_result settled;
     {
         const std::lock_guard lock{mutex_};
-        settled = attempts_.settle(request_id, now);
+        settled = attempts_.settle(query.request_id, now, query.queued);
     }
     log_event(log_level::info, "attempt settled",
-              {{"request_id", request_id},
+              {{"request_id", query.request_id},
+               {"overdue", query.queued == queued_attempt::keep},
                {"state", std::string{settle_state_names.name(settled.state)}},
                {"reason", std::string{to_string(settled.reason)}}});
     return settled;
--- a/lib/transport/http_peer_client.cpp
+++ b/lib/transport/http_peer_client.cpp
@@ -136,7 +136,9 @@
                    const service_call& call, http_client::http_done&& done)
     {
         const milliseconds left = call.deadline - ms_clock::now() + reply_grace_period;
-        const auto id = client_.send(url_of(target), make_request(path, request),
+        http_request http_message = make_request(path, request);
+        http_message.fresh_connection = call.request.fresh_connection;
+        const auto id = client_.send(url_of(target), std::move(http_message),
                                      std::max(left, milliseconds{1}), std::move(done));
         if (call.cancel) {
             call.cancel->on_cancel([&client = client_, id] { client.cancel(id); });
--- a/unittests/keys/attempt_ledger_test.cpp
+++ b/unittests/keys/attempt_ledger_test.cpp
@@ -36,6 +36,17 @@
     EXPECT_FALSE(ledger_.start(id));
 }
 
+// Guards against a query about an overdue call that costs a queued call its place, and against one
+// that does not fence a call that has not arrived.
+TEST_F(attempt_ledger_test, keeps_a_queued_call_for_a_query_about_an_overdue_one)
+{
+    EXPECT_TRUE(ledger_.admit(id, now_));
+    EXPECT_EQ(ledger_.settle(id, now_, queued_attempt::keep).state, settle_state::running);
+    EXPECT_TRUE(ledger_.start(id));
+    EXPECT_EQ(ledger_.settle("lost", now_, queued_attempt::keep).state, settle_state::fenced);
+    EXPECT_FALSE(ledger_.admit("lost", now_));
+}
+
 // Guards against a running call that is settled as fenced, and against a lost response.
 TEST_F(attempt_ledger_test, reports_a_running_call_and_then_its_response)
 {
@@ -97,8 +108,14 @@
 // Guards against an issued key that is mistaken for the key text of an attempt.
 TEST_F(attempt_ledger_test, distinguishes_attempt_keys_from_issued_keys)
 {
-    EXPECT_EQ(request_id_of_attempt_key(attempt_key("r1")), "r1");
-    EXPECT_EQ(request_id_of_attempt_key("issued"), "");
+    for (const auto queued : {queued_attempt::fence, queued_attempt::keep}) {
+        const auto parsed = parse_attempt_key(attempt_key({"r1", queued}));
+        ASSERT_TRUE(parsed);
+        EXPECT_EQ(parsed->request_id, "r1");
+        EXPECT_EQ(parsed->queued, queued);
+    }
+    EXPECT_FALSE(parse_attempt_key("issued"));
+    EXPECT_FALSE(parse_attempt_key("attempt:"));
 }
 
 } // namespace
--- a/unittests/node/dispatcher_fixture.h
+++ b/unittests/node/dispatcher_fixture.h
@@ -52,7 +52,8 @@
         dispatcher_options options;
         options.self_instance = 99;
         options.now = [this] { return now_; };
-        options.run_after = [this](milliseconds, std::function<void()> task) {
+        options.run_after = [this](milliseconds delay, std::function<void()> task) {
+            timer_delays_.push_back(delay);
             timers_.push_back(std::move(task));
         };
         dispatcher_ = std::make_unique<dispatcher>(peers_, nullptr, routes_, configuration_,
@@ -107,6 +108,7 @@
 
     std::vector<attempt> attempts_;
     std::vector<std::function<void()>> timers_;
+    std::vector<milliseconds> timer_delays_;
     time_point now_{milliseconds{1'000'000}};
     snapshot<routing_table> routes_;
     snapshot<document> configuration_;
--- a/unittests/node/routed_dispatch_test.cpp
+++ b/unittests/node/routed_dispatch_test.cpp
@@ -109,7 +109,10 @@
         ON_CALL(peers_, settle(_, _, _, _))
             .WillByDefault([settled](const node_reference&, const std::string& key, milliseconds,
                                      const peer_client::settle_done& done) {
-                EXPECT_EQ(request_id_of_attempt_key(key), "attempt-1");
+                const auto query = parse_attempt_key(key);
+                ASSERT_TRUE(query);
+                EXPECT_EQ(query->request_id, "attempt-1");
+                EXPECT_EQ(query->queued, queued_attempt::fence);
                 done(settled);
             });
         answer_with([](int attempt) {
@@ -153,5 +156,98 @@
               call_outcome::unknown);
 }
 
+/// The first attempt gets no response: its connection is silent.
+class overdue_dispatch : public routed_dispatch {
+protected:
+    void SetUp() override
+    {
+        routed_dispatch::SetUp();
+        ON_CALL(peers_, execute(_, _, _))
+            .WillByDefault([this](const node_reference& target, const service_call& call,
+                                  const call_done& done) {
+                attempts_.push_back({target.instance, call.retry_budget, call.request_id});
+                fresh_.push_back(call.request.fresh_connection);
+                if (attempts_.size() > 1) {
+                    done(answer(200));
+                    return;
+                }
+                silent_ = done;
+                call.cancel->on_cancel(
+                    [this] { silent_(unknown_outcome(reason_code::caller_gone)); });
+            });
+        ON_CALL(peers_, settle(_, _, _, _))
+            .WillByDefault([this](const node_reference&, const std::string& key, milliseconds,
+                                  const peer_client::settle_done& done) {
+                ++queries_;
+                const auto query = parse_attempt_key(key);
+                ASSERT_TRUE(query);
+                EXPECT_EQ(query->queued, queued_attempt::keep);
+                done(settled_);
+            });
+        service_call call;
+        call.service = "ledger";
+        call.priority = "lookup";
+        call.deadline = now_ + milliseconds{1000};
+        call.repeat = repeatability::at_most_once;
+        call.request_id = "attempt-1";
+        dispatcher_->dispatch(call,
+                              [this](call_result reported) { result_ = std::move(reported); });
+    }
+
+    /// Runs the timer that was set last, at its due time.
+    void run_last_timer()
+    {
+        now_ += timer_delays_.back();
+        const auto task = timers_.back();
+        task();
+    }
+
+    settle_result settled_;
+    std::optional<call_result> result_;
+    call_done silent_;
+    std::vector<bool> fresh_;
+    int queries_ = 0;
+};
+
+// Guards against an at-most-once call that ends as unknown because it waits on a silent connection,
+// although no executor has received it.
+TEST_F(overdue_dispatch, sends_a_call_that_has_not_arrived_to_another_member)
+{
+    settled_ = {settle_state::fenced, {}, reason_code::key_fenced, {}};
+    EXPECT_EQ(timer_delays_.back(), milliseconds{250});
+    run_last_timer();
+    ASSERT_TRUE(result_);
+    EXPECT_EQ(result_->outcome, call_outcome::completed);
+    ASSERT_EQ(attempts_.size(), 2U);
+    EXPECT_NE(attempts_[0].instance, attempts_[1].instance);
+    EXPECT_EQ(fresh_, (std::vector<bool>{false, true}));
+}
+
+// Guards against a response that is ready and not delivered.
+TEST_F(overdue_dispatch, delivers_the_response_that_the_connection_lost)
+{
+    settled_ = {settle_state::completed, {201, {}, "kept"}, reason_code::none, {}};
+    run_last_timer();
+    ASSERT_TRUE(result_);
+    EXPECT_EQ(result_->response.body, "kept");
+    EXPECT_EQ(attempts_.size(), 1U);
+}
+
+// Guards against a call that is ended or run twice because it takes long, and against queries after
+// there is no time to use their responses.
+TEST_F(overdue_dispatch, waits_for_a_call_that_runs)
+{
+    settled_ = {settle_state::running, {}, reason_code::key_running, {}};
+    run_last_timer();
+    run_last_timer();
+    run_last_timer();
+    EXPECT_EQ(queries_, 2);
+    EXPECT_FALSE(result_);
+    silent_(answer(201));
+    ASSERT_TRUE(result_);
+    EXPECT_EQ(result_->response.status, 201);
+    EXPECT_EQ(attempts_.size(), 1U);
+}
+
 } // namespace
 } // namespace chestnutstand
