Take no request that may outlast the stop of its node

Callers saw: a request that a stopping node took in its lame-duck period, with a time limit beyond the end of the drain, was passed on and cut off without a response when the node ended. Cause: the lame-duck period did not compare the deadline of a request with the end of the drain. Result: routed_path.stopping_node_takes_only_requests_that_end_before_it failed before (closed connection, exit status 1, one more execution).

--- a/include/chestnutstand/node/executor.h
+++ b/include/chestnutstand/node/executor.h
@@ -68,6 +68,9 @@
     /// Observes the response of an upstream process that is about to become the upstream.
     void observe_verification(const local_upstream& verified, const http_response& response);
 
+    /// Refuses routed calls whose deadline is later, because the node ends before.
+    void refuse_calls_beyond(time_point end);
+
     /// Refuses new calls from now on; queued calls still run.
     void begin_drain();
 
@@ -211,6 +214,7 @@
     /// service, which limits the probes of prober_.
     token_bucket slowdown_probe_budget_;
     time_point slowdown_probes_paused_until_;
+    time_point latest_deadline_ = time_point::max();
     bool draining_ = false;
 };
 
--- a/include/chestnutstand/node/ingress.h
+++ b/include/chestnutstand/node/ingress.h
@@ -37,8 +37,13 @@
     /// Returns the response to a request that the HTTP server itself refuses.
     http_response refuse_unreadable(const request_refusal& error);
 
-    /// Adds "Connection: close" to all further responses.
-    void begin_drain() { draining_ = true; }
+    /// Adds "Connection: close" to all further responses. Refuses routed calls that may run beyond
+    /// the end of the drain, which would cut them off.
+    void begin_drain(time_point end)
+    {
+        drain_end_ = end;
+        draining_ = true;
+    }
 
     /// Refuses all further requests.
     void refuse_new_calls() { refusing_ = true; }
@@ -67,6 +72,7 @@
     /// Index into the low-discrepancy sequence that spreads the Retry-After times.
     std::atomic<std::uint64_t> next_retry_after_ = 0;
     std::atomic<std::uint32_t> in_flight_ = 0;
+    std::atomic<time_point> drain_end_ = time_point::max();
     std::atomic<bool> draining_ = false;
     std::atomic<bool> refusing_ = false;
 };
--- a/include/chestnutstand/node/kernel.h
+++ b/include/chestnutstand/node/kernel.h
@@ -92,6 +92,8 @@
     /// Random id of this process, never 0.
     std::uint64_t instance() const { return instance_; }
     bool draining() const { return draining_; }
+    /// Time at which a drain ends the calls that still run. Set before the components drain.
+    time_point drain_end() const { return drain_end_; }
     /// Whether the upstream itself reports to the node that it leaves, with a draining heartbeat or
     /// DELETE /upstreams/{id}. This is taken to be the case where callers use routes. A drain of
     /// the node then does not mean that its upstream stops: the node keeps running calls on it, and
@@ -144,6 +146,7 @@
     settings settings_;
     std::uint64_t instance_;
     std::atomic<bool> draining_ = false;
+    time_point drain_end_{};
     node_ports ports_;
     metrics metrics_;
     std::unique_ptr<http_client> http_;
--- a/lib/node/components/ingress_component.cpp
+++ b/lib/node/components/ingress_component.cpp
@@ -50,7 +50,7 @@
         return status;
     }
 
-    void begin_drain(kernel& /*node*/) override { ingress_->begin_drain(); }
+    void begin_drain(kernel& node) override { ingress_->begin_drain(node.drain_end()); }
     void end_lame_duck(kernel& /*node*/) override { ingress_->refuse_new_calls(); }
     bool idle() const override { return ingress_->idle(); }
     void stop(kernel& /*node*/) override { server_->stop(); }
--- a/lib/node/executor.cpp
+++ b/lib/node/executor.cpp
@@ -113,6 +113,12 @@
     return upstream_;
 }
 
+void executor::refuse_calls_beyond(time_point end)
+{
+    const std::lock_guard lock{mutex_};
+    latest_deadline_ = end;
+}
+
 void executor::begin_drain()
 {
     const std::lock_guard lock{mutex_};
@@ -158,7 +164,7 @@
     if (target_instance != instance_) {
         return reason_code::wrong_instance;
     }
-    if (draining_) {
+    if (draining_ || (is_routed(call) && call.deadline > latest_deadline_)) {
         return reason_code::draining;
     }
     if (!upstream_ || upstream_->service != call.service) {
--- a/lib/node/ingress.cpp
+++ b/lib/node/ingress.cpp
@@ -152,6 +152,11 @@
         return;
     }
     auto& call = std::get<service_call>(parsed);
+    if (call.deadline > drain_end_.load()) {
+        refuse(request, *response, reason_code::draining,
+               "this node stops before the time limit of the request");
+        return;
+    }
     if (call.request_id.empty()) {
         call.request_id = next_request_id();
     }
--- a/lib/node/kernel.cpp
+++ b/lib/node/kernel.cpp
@@ -122,7 +122,7 @@
 
 bool kernel::drain_and_stop()
 {
-    const time_point idle_deadline = ms_clock::now() + milliseconds{settings_.drain_limit_ms};
+    drain_end_ = ms_clock::now() + milliseconds{settings_.drain_limit_ms};
     draining_ = true;
     for (component* started : started_) {
         started->begin_drain(*this);
@@ -132,7 +132,7 @@
     for (component* started : started_) {
         started->end_lame_duck(*this);
     }
-    while (!all_idle() && ms_clock::now() < idle_deadline) {
+    while (!all_idle() && ms_clock::now() < drain_end_) {
         sleep_for(idle_poll_interval);
     }
     const bool idle = all_idle();
--- a/tests/integration/routed_path_test.cpp
+++ b/tests/integration/routed_path_test.cpp
@@ -105,6 +105,30 @@
     EXPECT_EQ(stopping.node->wait(), 0);
 }
 
+// Guards against a stopping node that takes a request, passes it on, and cuts it off without a
+// response because it ends before the request does.
+TEST_F(routed_path, stopping_node_takes_only_requests_that_end_before_it)
+{
+    fleet_.extra_settings()["lame_duck_ms"] = 1'500;
+    fleet_.extra_settings()["drain_limit_ms"] = 2'500;
+    write_document(1, "/view/");
+    const auto& node = fleet_.add("east", "alpha");
+    ASSERT_TRUE(eventually([&] { return get_status(node, "/view/1") == 200; }));
+    const auto executions = fleet_.counters(node)["executions"];
+    ASSERT_TRUE(fleet_.control(node.upstream_port, "/behaviour", {{"service_ms", 4'000}}));
+    node.node->signal(SIGTERM);
+    ASSERT_TRUE(node.node->wait_for_line(
+        [](const auto& fields) { return fields.value("message", "") == "node drains"; }));
+    EXPECT_EQ(get_status(node, "/view/1"), 503);
+    EXPECT_EQ(fleet_.counters(node)["executions"], executions);
+    ASSERT_TRUE(fleet_.control(node.upstream_port, "/behaviour", {{"service_ms", 1}}));
+    const auto in_time = exchange(
+        fleet_.client(), node.caller_port,
+        {"GET", "/view/1", {{"Host", "shop.example"}, {"Chestnut-Timeout-Ms", "300"}}, ""});
+    EXPECT_EQ(in_time.response.status, 200);
+    EXPECT_EQ(node.node->wait(), 0);
+}
+
 // Guards against nodes that wait for lost responses of the store and miss a change of the document.
 TEST_F(routed_path, follows_changes_after_the_store_lost_all_waiting_reads)
 {
