Start long work only on a recent report and not into a slow phase

Cause: neighbours slow an upstream down by 5 for some 250 ms, a third of the time. A report of up to 50 ms counted as recent, whatever the length of the work that was started on it; a request that would miss its deadline on a slow upstream, or meet it late, was started there at once, although the end of the slow phase would have let it meet its target; the first slow report was taken for the usual speed. Change: the accepted age of a report falls with the usual time of the work, down to 10 ms; a held request starts on a slow upstream only when it can still meet its deadline there and can no longer meet its target by waiting; the usual factor starts at 1, as the upstreams state it. Up to 30 probes a second and upstream instead of 15, half of what the platform allows.

--- a/include/chestnutstand/admission/admission_queue.h
+++ b/include/chestnutstand/admission/admission_queue.h
@@ -83,7 +83,8 @@
 
     /// Sets the current service time of the upstream relative to its usual one. While the factor is
     /// above 1, however little, a request starts only if it is still expected to meet its latency
-    /// target, or if it would miss its deadline by waiting longer.
+    /// target, or if it cannot meet it any more, by waiting for the usual speed, and would miss its
+    /// deadline by waiting longer.
     void set_slowdown(double factor) { slowdown_ = factor; }
 
     /// Sets the requests per second that the upstream takes; nullopt for no limit.
@@ -126,6 +127,12 @@
     std::uint32_t limit() const { return limit_.value(); }
     std::optional<time_point> next_expiry(time_point now) const;
 
+    /// Recent mean service time of a class, decaying to zero while none is measured.
+    milliseconds service_time(std::size_t priority, time_point now) const
+    {
+        return milliseconds{classes_[priority].service_time().optimistic_mean(now)};
+    }
+
     /// Expected queueing time of a request that arrives now.
     milliseconds expected_wait(std::size_t priority, time_point now);
 
--- a/include/chestnutstand/admission/upstream_slowdown.h
+++ b/include/chestnutstand/admission/upstream_slowdown.h
@@ -13,9 +13,10 @@
 /// times as long until its end, even if the phase ends meanwhile, so the decision that matters is
 /// when to start it.
 ///
-/// The upstream reports a factor with its responses. It is divided by the lowest factor of the last
-/// few seconds, so that a VM that is permanently slow does not count as slowed down; its measured
-/// latency accounts for that. Does no I/O and reads no clock. Not thread-safe.
+/// The upstream reports a factor with its responses, 1 for its usual speed. It is divided by the
+/// lowest factor of the last few seconds, at first by 1, so that a VM that is permanently slow soon
+/// does not count as slowed down; its measured latency accounts for that. Does no I/O and reads no
+/// clock. Not thread-safe.
 class upstream_slowdown {
 public:
     /// Records a reported factor; 1 is the usual service time.
@@ -27,8 +28,10 @@
     /// Whether a request that starts now would take much longer than usual.
     bool slow(time_point now) const;
 
-    /// Whether the last report is less than 50 ms old, so that it still describes the present.
-    bool has_fresh_report(time_point now) const;
+    /// Whether the last report is recent enough to start work that usually takes this long. The
+    /// longer the work, the more is lost if a slow phase has begun since the report. Zero stands
+    /// for work of unknown length.
+    bool has_fresh_report(milliseconds usual_time, time_point now) const;
 
     /// Whether the upstream was slow at its last report and that report is old enough to send a
     /// probe for a new one.
--- a/include/chestnutstand/node/executor.h
+++ b/include/chestnutstand/node/executor.h
@@ -179,6 +179,8 @@
     /// Whether a call should wait for a slowdown probe; always false for a call that is not routed.
     /// Takes a token of slowdown_probe_budget_ if that starts a new probe.
     bool should_wait_for_slowdown(const service_call& call, time_point now);
+    /// Recent mean time that the upstream takes for calls of this class; zero while unknown.
+    milliseconds usual_time_of(const service_call& call, time_point now) const;
     /// Path at which the upstream reports its load; empty when none is configured.
     std::string health_path() const;
     void probe_slowdown(const std::string& base_url, const std::string& path);
--- a/lib/admission/admission_queue.cpp
+++ b/lib/admission/admission_queue.cpp
@@ -211,20 +211,27 @@
     return in_flight() + headroom(priority, now) < limit_.value();
 }
 
-/// Whether the first request of the queue should start if a slot is free. At any slowdown above 1,
-/// it should only if it is still expected to meet its latency target or would miss its deadline by
-/// waiting. The slowdown of a request lasts until its end, even if that of the upstream ends
-/// meanwhile, so that waiting for the latter is usually faster.
+/// Whether the first request of the queue should start if a slot is free. The slowdown of a request
+/// lasts until its end, even if that of the upstream ends meanwhile, so that waiting for the latter
+/// is usually faster. It also is the only chance of a request that would miss its deadline if it
+/// started now, and the better one of a request that meets its target if the slow phase ends soon.
 bool admission_queue::is_worth_starting(const class_queue& queue, time_point now) const
 {
     if (slowdown_ <= 1.0) {
         return true;
     }
-    const milliseconds service{queue.service_time().optimistic_mean(now) * slowdown_};
+    const milliseconds usual{queue.service_time().optimistic_mean(now)};
+    const milliseconds slow = usual * slowdown_;
     const auto& first = queue.front();
-    const bool in_time = now - first.arrived + service <= queue.config().latency_target;
-    const bool deadline_near = now + service + deadline_start_margin >= first.deadline;
-    return in_time || deadline_near;
+    const milliseconds waited = now - first.arrived;
+    const milliseconds target = queue.config().latency_target;
+    if (waited + slow <= target) {
+        return true;
+    }
+    const bool may_meet_target = waited + usual <= target;
+    const bool meets_deadline = now + slow <= first.deadline;
+    const bool deadline_near = now + slow + deadline_start_margin >= first.deadline;
+    return !may_meet_target && meets_deadline && deadline_near;
 }
 
 /// Number of slots that requests of a class leave free for those of more urgent classes. The more
--- a/lib/node/executor.cpp
+++ b/lib/node/executor.cpp
@@ -14,9 +14,9 @@
 namespace chestnutstand {
 namespace {
 
-/// Maximum rate of the slowdown probes for which calls wait: a quarter of the rate of such requests
-/// that the deployment platforms allow, so that the probes add no noticeable load.
-constexpr double slowdown_probes_per_s = 15.0;
+/// Maximum rate of the slowdown probes for which calls wait: half of the rate of such requests that
+/// the deployment platforms allow.
+constexpr double slowdown_probes_per_s = 30.0;
 constexpr double slowdown_probe_burst = 5.0;
 /// A token bucket starts empty. That of the slowdown probes is constructed with a start time this
 /// far in the past, in which it fills up, because the slowdown of the upstream is unknown at first.
--- a/lib/node/executor_slowdown.cpp
+++ b/lib/node/executor_slowdown.cpp
@@ -22,13 +22,19 @@
 {
     // Probes are requests too, and an upstream with a rate limit needs these for calls.
     if (!is_routed(call) || names_.upstream_load.empty() || health_path().empty() ||
-        statement_.rate_limit() || slowdown_.has_fresh_report(now) ||
+        statement_.rate_limit() || slowdown_.has_fresh_report(usual_time_of(call, now), now) ||
         now < slowdown_probes_paused_until_) {
         return false;
     }
     return slowdown_probe_running_ || slowdown_probe_budget_.try_take(now);
 }
 
+milliseconds executor::usual_time_of(const service_call& call, time_point now) const
+{
+    const auto priority = queue_ ? find_class(call) : std::nullopt;
+    return priority ? queue_->service_time(*priority, now) : milliseconds{0};
+}
+
 std::string executor::health_path() const
 {
     const auto* service =
@@ -70,7 +76,7 @@
                          const std::lock_guard lock{mutex_};
                          slowdown_probe_running_ = false;
                          waiting_calls.swap(waiting_for_slowdown_);
-                         if (!slowdown_.has_fresh_report(now)) {
+                         if (!slowdown_.has_fresh_report(milliseconds{0}, now)) {
                              slowdown_probes_paused_until_ = now + slowdown_probe_backoff;
                          }
                      }
--- a/unittests/admission/admission_queue_test.cpp
+++ b/unittests/admission/admission_queue_test.cpp
@@ -321,6 +321,26 @@
     EXPECT_GT(decision->waited, milliseconds{100});
 }
 
+// Guards against starting a long request on a slow upstream, where it cannot meet its deadline, or
+// would meet it late, although it meets its latency target if the slow phase ends soon.
+TEST_F(admission_queue_test, waits_while_only_the_end_of_a_slow_phase_helps)
+{
+    measure(normal, 100, 20);
+    for (const int deadline : {350, 450}) {
+        queue_.set_slowdown(4.0);
+        EXPECT_EQ(offer(normal, deadline), offer_state::queued);
+        for (int waited = 0; waited < 80; waited += 10) {
+            EXPECT_FALSE(queue_.next(now_)) << "deadline " << deadline;
+            elapse(10);
+        }
+        queue_.set_slowdown(1.0);
+        const auto started = queue_.next(now_);
+        ASSERT_TRUE(started);
+        EXPECT_TRUE(started->starts());
+        queue_.finish(started->id, {sample_kind::completed, milliseconds{100}}, now_);
+    }
+}
+
 // Guards against holding short requests that meet their latency target on a slow upstream.
 TEST_F(admission_queue_test, starts_what_meets_its_target_on_a_slow_upstream)
 {
--- a/unittests/admission/upstream_slowdown_test.cpp
+++ b/unittests/admission/upstream_slowdown_test.cpp
@@ -19,6 +19,29 @@
     EXPECT_EQ(slowdown.factor(at(0)), 1.0);
 }
 
+// Guards against taking the first slow phase for the usual speed.
+TEST(upstream_slowdown, is_slow_at_a_first_slow_report)
+{
+    upstream_slowdown slowdown;
+    slowdown.observe(4.0, at(0));
+    EXPECT_TRUE(slowdown.slow(at(0)));
+    EXPECT_EQ(slowdown.factor(at(0)), 4.0);
+}
+
+// Guards against starting long work on a report that was overtaken by a slow phase, and against
+// probes for short work, which loses little.
+TEST(upstream_slowdown, longer_work_needs_a_younger_report)
+{
+    upstream_slowdown slowdown;
+    slowdown.observe(1.0, at(0));
+    EXPECT_TRUE(slowdown.has_fresh_report(milliseconds{60}, at(45)));
+    EXPECT_FALSE(slowdown.has_fresh_report(milliseconds{60}, at(55)));
+    EXPECT_TRUE(slowdown.has_fresh_report(milliseconds{250}, at(12)));
+    EXPECT_FALSE(slowdown.has_fresh_report(milliseconds{250}, at(13)));
+    EXPECT_TRUE(slowdown.has_fresh_report(milliseconds{0}, at(45)));
+    EXPECT_FALSE(slowdown.has_fresh_report(milliseconds{5}, at(55)));
+}
+
 // Guards against detecting the start or the end of a slow phase late.
 TEST(upstream_slowdown, follows_the_last_report)
 {
