Send hedges over new connections

Cause: the hedge of a call that waits on a silent connection was sent over another pooled connection, most of which were silent as well. Change: hedges, and attempts after one, use a new connection to the other node. Result: dispatcher_test.hedges_only_slow_idempotent_calls asks for it.

--- a/lib/node/dispatcher.cpp
+++ b/lib/node/dispatcher.cpp
@@ -205,7 +205,8 @@
         }
         ++state->placements;
         state->tried_members.push_back(attempt->target->node.instance);
-        fresh_connection = state->fresh_connections;
+        fresh_connection =
+            state->fresh_connections && attempt->target->node.instance != options_.self_instance;
         movable =
             is_routed(call) && !state->deferring_members_allowed && state->placements < move_limit;
         state->cancellations.push_back(attempt->cancel);
@@ -330,6 +331,8 @@
         if (state->finished || state->attempts_in_flight != 1 || state->budget.exhausted()) {
             return;
         }
+        // The first attempt may wait on a silent connection, and others may be silent as well.
+        state->fresh_connections = true;
     }
     if (!selector_.take_retry(state->call.service)) {
         counters_.count(reason_event::refused, reason_code::retry_budget_exhausted);
--- a/unittests/node/dispatcher_test.cpp
+++ b/unittests/node/dispatcher_test.cpp
@@ -138,6 +138,7 @@
 {
     std::vector<call_done> pending;
     std::vector<std::shared_ptr<cancellation>> cancels;
+    std::vector<bool> fresh_connections;
     answer_with([this](int) {
         now_ += milliseconds{2};
         return answer(200);
@@ -151,6 +152,7 @@
     ON_CALL(peers_, execute(_, _, _))
         .WillByDefault([&](const node_reference&, const service_call& call, const call_done& done) {
             cancels.push_back(call.cancel);
+            fresh_connections.push_back(call.request.fresh_connection);
             pending.push_back(done);
         });
     int responses = 0;
@@ -169,6 +171,8 @@
     ASSERT_EQ(timers_.size(), 1U);
     timers_[0]();
     ASSERT_EQ(pending.size(), 3U);
+    // The first connection may be silent, and other pooled ones as well.
+    EXPECT_EQ(fresh_connections, (std::vector<bool>{false, false, true}));
     pending[2](answer(201));
     EXPECT_TRUE(cancels[0]->cancelled());
     pending[0](answer(202));
