Take the first report of an upstream for its usual speed again

Cause: cold upstreams report a factor of 2 for some seconds, and with a usual factor of 1 at the start all of them counted as slowed down, so that work waited for nothing. Change: the first report sets the usual factor, as before.

--- a/include/chestnutstand/admission/upstream_slowdown.h
+++ b/include/chestnutstand/admission/upstream_slowdown.h
@@ -13,9 +13,9 @@
 /// times as long until its end, even if the phase ends meanwhile, so the decision that matters is
 /// when to start it.
 ///
-/// The upstream reports a factor with its responses, 1 for its usual speed. It is divided by the
-/// lowest factor of the last few seconds, at first by 1, so that a VM that is permanently slow soon
-/// does not count as slowed down; its measured latency accounts for that. Does no I/O and reads no
+/// The upstream reports a factor with its responses. It is divided by the lowest factor of the last
+/// few seconds, so that a VM that is permanently slow, or cold after its start, does not count as
+/// slowed down; its measured latency accounts for that. Does no I/O and reads no
 /// clock. Not thread-safe.
 class upstream_slowdown {
 public:
--- a/lib/admission/upstream_slowdown.cpp
+++ b/lib/admission/upstream_slowdown.cpp
@@ -31,7 +31,7 @@
 {
     factor = std::max(factor, min_reported_factor);
     if (!observed_at_) {
-        lowest_factor_ = factor;
+        lowest_factor_ = previous_lowest_factor_ = factor;
         period_start_ = now;
     }
     if (now - period_start_ >= baseline_period) {
