Settle calls that arrive after a query about them

Cause: a query about an overdue call fenced it, its response was lost or late, and the call, which arrived after it, was answered as key_running; that reason also gave an unknown outcome of a routed call the status 409. Change: key_running leads to a settlement, like a lost connection, so that the call is placed again when it was fenced. Unknown outcomes of routed calls are 502 or 504 whatever their reason.

--- a/lib/node/attempt_result.h
+++ b/lib/node/attempt_result.h
@@ -17,6 +17,15 @@
            result.reason == reason_code::upstream_refused;
 }
 
+/// Returns true if the executor of the attempt knows more than the result tells: the response was
+/// lost, or the call arrived after a query about it had fenced it.
+inline bool is_settleable(const call_result& result)
+{
+    return result.outcome == call_outcome::unknown &&
+           (result.reason == reason_code::peer_connection_lost ||
+            result.reason == reason_code::key_running);
+}
+
 /// Returns true if an admission queue refused the attempt.
 inline bool refused_by_queue(const call_result& result)
 {
--- a/lib/node/dispatcher.cpp
+++ b/lib/node/dispatcher.cpp
@@ -220,8 +220,7 @@
     sent.request.fresh_connection = fresh_connection;
     send(attempt->target, std::move(sent), attempt->budget, attempt->cancel,
          [self = shared_from_this(), state, attempt](call_result result) {
-             if (result.reason == reason_code::peer_connection_lost &&
-                 self->may_be_settled(*state, *attempt)) {
+             if (is_settleable(result) && self->may_be_settled(*state, *attempt)) {
                  self->settle(state, attempt);
                  return;
              }
--- a/lib/node/problem.cpp
+++ b/lib/node/problem.cpp
@@ -96,8 +96,12 @@
         return std::move(result.response);
     }
     const int not_run_status = 503;
-    auto response = make_problem(result.outcome, result.reason, {},
-                                 result.outcome == call_outcome::not_run ? not_run_status : 0);
+    // A routed call has no idempotency key, to which a status like 409 could refer.
+    const bool is_late = status_of(result.outcome, result.reason) == 504;
+    const int unknown_status = is_late ? 504 : 502;
+    auto response =
+        make_problem(result.outcome, result.reason, {},
+                     result.outcome == call_outcome::not_run ? not_run_status : unknown_status);
     if (response.status == not_run_status) {
         set_header(response.headers, "Retry-After", in_seconds(retry_after));
     }
--- a/unittests/node/routed_call_test.cpp
+++ b/unittests/node/routed_call_test.cpp
@@ -161,6 +161,12 @@
         make_routed_response(unknown_outcome(reason_code::peer_connection_lost), milliseconds{250})
             .status,
         502);
+    for (std::size_t i = 0; i < reason_count; ++i) {
+        const auto reason = static_cast<reason_code>(i);
+        const int status = make_routed_response(unknown_outcome(reason), milliseconds{250}).status;
+        EXPECT_TRUE(status == 502 || status == 504) << to_string(reason);
+        EXPECT_EQ(make_routed_response(not_run(reason), milliseconds{250}).status, 503);
+    }
 }
 
 } // namespace
--- a/unittests/node/routed_dispatch_test.cpp
+++ b/unittests/node/routed_dispatch_test.cpp
@@ -223,6 +223,25 @@
     EXPECT_EQ(fresh_, (std::vector<bool>{false, true}));
 }
 
+// Guards against a call that ends as unknown because it arrives after the query that has fenced it,
+// while the response to the query is lost.
+TEST_F(overdue_dispatch, settles_a_call_that_arrives_after_the_query)
+{
+    ON_CALL(peers_, settle(_, _, _, _))
+        .WillByDefault([](const node_reference&, const std::string& key, milliseconds,
+                          const peer_client::settle_done& done) {
+            const bool is_overdue = parse_attempt_key(key)->queued == queued_attempt::keep;
+            is_overdue ? done(absl::UnavailableError("lost"))
+                       : done(settle_result{settle_state::fenced, {}, reason_code::key_fenced, {}});
+        });
+    run_last_timer();
+    EXPECT_FALSE(result_);
+    silent_(unknown_outcome(reason_code::key_running));
+    ASSERT_TRUE(result_);
+    EXPECT_EQ(result_->outcome, call_outcome::completed);
+    EXPECT_EQ(attempts_.size(), 2U);
+}
+
 // Guards against a response that is ready and not delivered.
 TEST_F(overdue_dispatch, delivers_the_response_that_the_connection_lost)
 {
