Wait for a slow reader instead of trying again without a pause

Cause: while the connection of a response takes no bytes, Pistache tries to write again at once, and copies what is left each time. The thread serves nothing else meanwhile. Ruled out: processor time of the nodes' own code, links, cold upstreams. Change: the server writes by itself and asks for writability when a connection is full. The time limit counts from the last progress.

--- a/lib/transport/server_transport.cpp
+++ b/lib/transport/server_transport.cpp
@@ -1,6 +1,7 @@
 #include "server_transport.h"
 
 #include <algorithm>
+#include <cerrno>
 #include <cmath>
 #include <sys/socket.h>
 #include <sys/timerfd.h>
@@ -19,6 +20,11 @@
     return {refusal.status, {{"Content-Type", "text/plain"}}, refusal.detail};
 }
 
+using Pistache::Polling::NotifyOn;
+
+/// Events that Pistache asks for on each connection.
+const auto usual_events = NotifyOn::Read | NotifyOn::Shutdown;
+
 Pistache::Polling::Tag tag_of(int descriptor)
 {
     return Pistache::Polling::Tag{static_cast<std::uint64_t>(descriptor)};
@@ -66,7 +72,13 @@
     for (const auto& event : ready) {
         timer_fired = timer_fired || event.getTag() == tag_of(timer_);
     }
-    tcp::Transport::onReady(ready);
+    // No connection asks for writability while none is blocked.
+    if (blocked_writes_.empty()) {
+        tcp::Transport::onReady(ready);
+    }
+    else {
+        tcp::Transport::onReady(handle_writable(ready));
+    }
     // Only after Pistache has handled all of its events, which a write or a close could invalidate.
     if (timer_fired) {
         check_deadlines();
@@ -96,6 +108,7 @@
         return;
     }
     const auto abandoned = std::move(found->second.slot);
+    blocked_writes_.erase(peer->fd());
     connections_.erase(found);
     --shared_->open_connections;
     if (abandoned) {
@@ -197,30 +210,77 @@
 void server_transport::write(connection& client, std::string bytes)
 {
     client.writing = true;
-    const std::size_t id = client.peer->getID();
-    const std::size_t size = bytes.size();
-    client.deadline = ms_clock::now() + client.limits.request_timeout;
-    client.peer->send(Pistache::RawBuffer{std::move(bytes), size}, MSG_NOSIGNAL)
-        .then([this, id](ssize_t) { on_written(id, true); },
-              [this, id](const std::exception_ptr&) { on_written(id, false); });
-    // Writes immediately, while the descriptor still belongs to this connection.
-    flush();
-    if (client.writing && client.deadline) {
+    client.output = std::move(bytes);
+    client.sent = 0;
+    continue_write(client);
+}
+
+void server_transport::continue_write(connection& client)
+{
+    const int descriptor = client.peer->fd();
+    while (client.sent < client.output.size()) {
+        const ssize_t size =
+            ::send(descriptor, client.output.data() + client.sent,
+                   client.output.size() - client.sent, MSG_NOSIGNAL | MSG_DONTWAIT);
+        if (size >= 0) {
+            client.sent += static_cast<std::size_t>(size);
+            client.deadline = ms_clock::now() + client.limits.request_timeout;
+            continue;
+        }
+        if (errno == EINTR) {
+            continue;
+        }
+        const bool is_full = errno == EAGAIN || errno == EWOULDBLOCK;
+        if (!is_full) {
+            finish_write(client, false);
+            return;
+        }
+        if (blocked_writes_.emplace(descriptor, client.peer->getID()).second) {
+            client.deadline = ms_clock::now() + client.limits.request_timeout;
+            reactor()->modifyFd(key(), descriptor, usual_events | NotifyOn::Write,
+                                Pistache::Polling::Mode::Edge);
+        }
         arm_timer(*client.deadline);
+        return;
+    }
+    if (blocked_writes_.erase(descriptor) > 0) {
+        reactor()->modifyFd(key(), descriptor, usual_events, Pistache::Polling::Mode::Edge);
     }
+    finish_write(client, true);
 }
 
-void server_transport::on_written(std::size_t id, bool complete)
+Pistache::Aio::FdSet server_transport::handle_writable(const Pistache::Aio::FdSet& ready)
 {
-    const auto found = connections_.find(id);
-    if (found == connections_.end()) {
-        return;
+    std::vector<Pistache::Polling::Event> others;
+    others.reserve(ready.size());
+    std::vector<std::size_t> writable;
+    for (const auto& entry : ready) {
+        const auto blocked = blocked_writes_.find(static_cast<int>(entry.getTag().value()));
+        if (entry.isWritable() && blocked != blocked_writes_.end()) {
+            writable.push_back(blocked->second);
+        }
+        if (entry.isReadable() || entry.isHangup()) {
+            Pistache::Polling::Event other{entry.getTag()};
+            other.flags |= entry.isReadable() ? NotifyOn::Read : NotifyOn::None;
+            other.flags |= entry.isHangup() ? NotifyOn::Hangup : NotifyOn::None;
+            others.push_back(other);
+        }
     }
-    connection& client = found->second;
+    for (const std::size_t id : writable) {
+        if (const auto found = connections_.find(id); found != connections_.end()) {
+            continue_write(found->second);
+        }
+    }
+    return Pistache::Aio::FdSet{std::move(others)};
+}
+
+void server_transport::finish_write(connection& client, bool complete)
+{
     client.writing = false;
+    client.output = {};
     client.broken = client.broken || !complete;
     if (client.broken) {
-        pending_close_.push_back(id);
+        pending_close_.push_back(client.peer->getID());
         return;
     }
     if (client.closing) {
--- a/lib/transport/server_transport.h
+++ b/lib/transport/server_transport.h
@@ -42,8 +42,10 @@
     std::optional<time_point> deadline;
     /// Whether a part of an incomplete request has arrived.
     bool in_request = false;
-    /// Whether a response is being written.
+    /// Whether a response is being written: output from the offset sent on is not sent yet.
     bool writing = false;
+    std::string output;
+    std::size_t sent = 0;
     /// Whether the response that is or was written last ends the connection.
     bool closing = false;
     /// Whether to close the connection without a further response.
@@ -83,9 +85,10 @@
     server_transport& owner();
 };
 
-/// Pistache transport that writes to its connections only on its own thread. Pistache queues writes
-/// by descriptor, so a write queued by another thread could reach a new connection that reuses the
-/// descriptor of a closed one.
+/// Pistache transport that writes to its connections only on its own thread, and by itself.
+/// Pistache queues writes by descriptor, so that a queued one could reach a new connection that
+/// reuses the descriptor of a closed one, and it tries again without a pause, and copies what is
+/// left each time, while a connection takes no bytes.
 class server_transport final : public tcp::Transport {
 public:
     server_transport(std::shared_ptr<shared_server_state> shared,
@@ -122,7 +125,11 @@
     void refuse(connection& client, const request_refusal& refusal);
     void send_response(const response_queue::entry& entry);
     void write(connection& client, std::string bytes);
-    void on_written(std::size_t id, bool complete);
+    /// Sends what the connection takes now; the rest follows when it is ready for more.
+    void continue_write(connection& client);
+    void finish_write(connection& client, bool complete);
+    /// Continues the writes of the ready connections. Returns the other events.
+    Pistache::Aio::FdSet handle_writable(const Pistache::Aio::FdSet& ready);
     void wait_for_client(connection& client);
     void check_deadlines();
     void handle_timeout(connection& client);
@@ -134,6 +141,8 @@
     std::shared_ptr<tcp::Handler> handler_;
     std::shared_ptr<response_queue> queue_ = std::make_shared<response_queue>();
     std::map<std::size_t, connection> connections_;
+    /// Connections, by their descriptors, that take no bytes at the moment.
+    std::map<int, std::size_t> blocked_writes_;
     /// Connections to close once the current events are handled.
     std::vector<std::size_t> pending_close_;
     int timer_ = -1;
--- a/unittests/transport/http_server_test.cpp
+++ b/unittests/transport/http_server_test.cpp
@@ -81,6 +81,31 @@
     std::unique_ptr<http_server> server_;
 };
 
+// Guards against a thread that is busy with writing, or blocked, while a client reads its response
+// slowly, and against a response that is cut off when the client has not read for a while.
+TEST_F(http_server_test, slow_reader_delays_no_other_client)
+{
+    constexpr std::size_t large = std::size_t{16} << 20U;
+    options_.request_timeout = milliseconds{10'000};
+    start();
+    hold_responses_ = true;
+    const auto slow = connect();
+    slow.send("GET /slow HTTP/1.1\r\nHost: x\r\n\r\n");
+    const auto held = wait_for_pending_responders(1);
+    ASSERT_EQ(held.size(), 1U);
+    hold_responses_ = false;
+    held[0]->send({200, {}, std::string(large, 'x')});
+    for (int i = 0; i < 3; ++i) {
+        const auto other = connect();
+        other.send("GET /other HTTP/1.1\r\nHost: x\r\n\r\n");
+        EXPECT_NE(other.receive_until_text("/other").find("200"), std::string::npos);
+    }
+    const auto received = slow.receive_message();
+    EXPECT_EQ(received.size() - received.find("\r\n\r\n") - 4, large);
+    slow.send("GET /again HTTP/1.1\r\nHost: x\r\n\r\n");
+    EXPECT_NE(slow.receive_until_text("/again").find("200"), std::string::npos);
+}
+
 // Guards against the loss of a request that arrives in one segment with another.
 TEST_F(http_server_test, answers_pipelined_requests_in_order)
 {
