Refuse requests until the process of a stopping node ends

Cause: the connections of callers were closed before the other components stopped, and the process then waited for the end of its threads, which takes longer than 0.1 s on a busy machine. Change: the server for callers refuses until the process ends, which it does right after its stop.

--- a/tools/chestnutstand/node.cpp
+++ b/tools/chestnutstand/node.cpp
@@ -80,7 +80,9 @@
 {
     const sigset_t signals = block_stop_signals();
     init_logging(node_settings.lowest_log_level);
-    kernel node{std::move(node_settings)};
+    // Never destroyed: the process ends right after the stop, and callers whose connections the
+    // kernel has not closed yet would wait for the end of its threads.
+    auto& node = *new kernel{std::move(node_settings)};
     const absl::Status started = node.start();
     if (!started.ok()) {
         log_event(log_level::error, "node could not start",
