Limit the start of a fetched document, not its transfer

Cause: a fetch from a peer ended after 0.5 s whatever had arrived by then. Change: the 0.5 s hold for the start of the response, and the transfer may take 5 s more, as from the store.

--- a/include/chestnutstand/transport/peer_client.h
+++ b/include/chestnutstand/transport/peer_client.h
@@ -81,6 +81,8 @@
     using probe_done = std::function<void(absl::StatusOr<load_report>)>;
     virtual void probe(const node_reference& target, milliseconds timeout, probe_done done) = 0;
 
+    /// The timeout bounds the time until the response begins; over HTTP, a large one may take a few
+    /// seconds more to arrive.
     using changes_done = std::function<void(absl::StatusOr<fetched_changes>)>;
     virtual void fetch_changes(const node_reference& target, std::uint64_t from_offset,
                                milliseconds timeout, changes_done done) = 0;
--- a/lib/transport/http_peer_client.cpp
+++ b/lib/transport/http_peer_client.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr int status_ok = 200;
+/// A document of 2 MiB over a link of 10 Mbit/s that carries calls as well.
+constexpr milliseconds max_changes_transfer{5'000};
 constexpr int status_unavailable = 503;
 
 std::string url_of(const node_reference& target)
@@ -111,8 +113,10 @@
     {
         wire::FetchChangesRequest request;
         request.set_from_offset(from_offset);
-        query<wire::FetchChangesReply>(target, node_path::changes, request, timeout, false,
-                                       std::move(done));
+        http_request http_message = make_request(node_path::changes, request);
+        http_message.response_start_timeout = timeout;
+        query<wire::FetchChangesReply>(target, std::move(http_message),
+                                       timeout + max_changes_transfer, std::move(done));
     }
 
     void sync_members(const node_reference& target, std::vector<std::string> members,
@@ -151,6 +155,13 @@
     {
         http_request http_message = make_request(path, request);
         http_message.fresh_connection = fresh_connection;
+        query<Reply>(target, std::move(http_message), timeout, std::move(done));
+    }
+
+    template <typename Reply, typename Done>
+    void query(const node_reference& target, http_request http_message, milliseconds timeout,
+               Done done)
+    {
         client_.send(url_of(target), std::move(http_message), timeout,
                      [done = std::move(done)](const http_result& result) {
                          const auto status = status_of(result);
--- a/unittests/transport/node_server_test.cpp
+++ b/unittests/transport/node_server_test.cpp
@@ -1,7 +1,10 @@
+#include "chestnutstand/transport/http_client.h"
 #include "chestnutstand/transport/node_server.h"
 
 #include "raw_socket.h"
 
+#include "node.pb.h"
+
 #include <absl/status/statusor.h>
 #include <gtest/gtest.h>
 
@@ -210,5 +213,35 @@
     EXPECT_EQ(second.get().reason, reason_code::draining);
 }
 
+// Guards against a node that never gets a large document from its peers, because the time limit
+// that detects a lost response also bounds the transfer.
+TEST(http_peer_client, large_document_may_arrive_slowly)
+{
+    constexpr milliseconds start_limit{100};
+    wire::FetchChangesReply reply;
+    reply.add_records()->set_payload("document");
+    const std::string body = reply.SerializeAsString();
+    const auto listener = raw_socket::listen_on_loopback();
+    std::thread peer{[&] {
+        const auto connection = listener.accept();
+        connection.receive_until_text("\r\n\r\n");
+        connection.send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+                        "\r\n\r\n");
+        std::this_thread::sleep_for(start_limit * 3.0);
+        connection.send(body);
+        connection.receive_until_text("\r\n\r\n");
+    }};
+    auto http = make_http_client();
+    const auto peers = make_http_peer_client(*http);
+    std::promise<absl::StatusOr<fetched_changes>> fetched;
+    peers->fetch_changes({instance, "127.0.0.1", listener.port()}, 0, start_limit,
+                         [&](const auto& changes) { fetched.set_value(changes); });
+    const auto changes = fetched.get_future().get();
+    http.reset();
+    peer.join();
+    ASSERT_TRUE(changes.ok()) << changes.status();
+    EXPECT_EQ(changes->records.at(0).payload, "document");
+}
+
 } // namespace
 } // namespace chestnutstand
