Start no call after the lease of the upstream

From the reports of other operators: a process that was paused for some seconds acts on a permission that has run out meanwhile. Cause: a timer withdraws an upstream whose lease has expired, at most every half second. A node that wakes could start calls, new and queued ones, before that timer, on an upstream that had left or been replaced. Change: the executor knows the end of the lease and checks it when it takes and when it starts a call. Result: executor_test.starts_no_call_after_the_lease_of_the_upstream failed before.

--- a/include/chestnutstand/node/executor.h
+++ b/include/chestnutstand/node/executor.h
@@ -65,6 +65,10 @@
     void set_upstream(std::optional<local_upstream> upstream);
     std::optional<local_upstream> upstream() const;
 
+    /// Starts no call at or after this time, until it is renewed. A node that was paused cannot
+    /// rely on a timer to withdraw an upstream whose lease has expired meanwhile.
+    void renew_lease(time_point end);
+
     /// Observes the response of an upstream process that is about to become the upstream.
     void observe_verification(const local_upstream& verified, const http_response& response);
 
@@ -216,6 +220,7 @@
     /// service, which limits the probes of prober_.
     token_bucket slowdown_probe_budget_;
     time_point slowdown_probes_paused_until_;
+    time_point lease_end_ = time_point::max();
     time_point latest_deadline_ = time_point::max();
     bool draining_ = false;
 };
--- a/include/chestnutstand/node/upstream_registry.h
+++ b/include/chestnutstand/node/upstream_registry.h
@@ -48,6 +48,10 @@
     /// The listener runs when the upstream is admitted, changes or is withdrawn.
     explicit upstream_registry(listener changed);
 
+    /// Called with the end of the lease each time the upstream is admitted or its lease renewed,
+    /// before the listener.
+    void on_lease(std::function<void(time_point end)> renewed) { renewed_ = std::move(renewed); }
+
     /// Sets the time (Unix, milliseconds) before which a process must have started to be verified,
     /// and the function that verifies it. Such a process may have deregistered from an earlier
     /// process of this node, and a delayed heartbeat of it may arrive afterwards. So it is admitted
@@ -98,6 +102,7 @@
     bool check_admission(const upstream_heartbeat& heartbeat);
 
     listener changed_;
+    std::function<void(time_point)> renewed_ = [](time_point) {};
     std::optional<local_upstream> current_;
     time_point lease_end_;
     /// Id, start time and last sequence number of the newest known process.
--- a/lib/node/components/executor_component.cpp
+++ b/lib/node/components/executor_component.cpp
@@ -45,6 +45,7 @@
                                                 upstream ? upstream->slots : 0);
                 }
             });
+        registry_->on_lease([this](time_point end) { executor_->renew_lease(end); });
         executor_->on_departure([this, &node](const std::string& id, std::uint64_t born_ms) {
             node.control().post(
                 [this, id, born_ms] { registry_->leave(id, born_ms, unix_now_ms()); });
--- a/lib/node/executor.cpp
+++ b/lib/node/executor.cpp
@@ -113,6 +113,12 @@
     return upstream_;
 }
 
+void executor::renew_lease(time_point end)
+{
+    const std::lock_guard lock{mutex_};
+    lease_end_ = end;
+}
+
 void executor::refuse_calls_beyond(time_point end)
 {
     const std::lock_guard lock{mutex_};
@@ -167,7 +173,7 @@
     if (draining_ || (is_routed(call) && call.deadline > latest_deadline_)) {
         return reason_code::draining;
     }
-    if (!upstream_ || upstream_->service != call.service) {
+    if (!upstream_ || upstream_->service != call.service || now >= lease_end_) {
         return reason_code::no_upstream;
     }
     if (!queue_) {
@@ -283,6 +289,9 @@
     if (!queue_) {
         return;
     }
+    if (now >= lease_end_) {
+        refuse_queued(reason_code::no_upstream, deferred);
+    }
     while (const auto decision = queue_->next(now)) {
         const auto found = executions_.find(decision->id);
         const auto execution = found->second;
--- a/lib/node/upstream_registry.cpp
+++ b/lib/node/upstream_registry.cpp
@@ -105,6 +105,7 @@
 void upstream_registry::admit(local_upstream upstream, time_point now)
 {
     lease_end_ = now + lease_time;
+    renewed_(lease_end_);
     if (current_ == upstream) {
         return;
     }
--- a/unittests/node/executor_test.cpp
+++ b/unittests/node/executor_test.cpp
@@ -316,5 +316,24 @@
     EXPECT_FALSE(is_last_request_a_probe());
 }
 
+// Guards against a node that was paused and then sends calls to an upstream whose lease has expired
+// meanwhile, before a timer withdraws it.
+TEST_F(executor_test, starts_no_call_after_the_lease_of_the_upstream)
+{
+    executor_.renew_lease(ms_clock::now() + milliseconds{60'000});
+    execute();
+    execute();
+    const int queued = execute();
+    ASSERT_EQ(upstream_.pending.size(), 2U);
+    executor_.renew_lease(ms_clock::now());
+    upstream_.respond(1, 200);
+    EXPECT_EQ(upstream_.last_id, 2U);
+    EXPECT_EQ(reason_of(queued), reason_code::no_upstream);
+    EXPECT_EQ(reason_of(execute()), reason_code::no_upstream);
+    executor_.renew_lease(ms_clock::now() + milliseconds{60'000});
+    execute();
+    EXPECT_EQ(upstream_.last_id, 3U);
+}
+
 } // namespace
 } // namespace chestnutstand
