Track repeatable calls at their executors as well

Cause: only calls that must not repeat were recorded by the executor, so that only these could be asked for. Change: the ledger records all routed calls; one that has not arrived is fenced and sent to another member, which needs no retry. The response of a repeatable call is not kept. A query waits for at most half of the time that a call has.

--- a/include/chestnutstand/keys/attempt_ledger.h
+++ b/include/chestnutstand/keys/attempt_ledger.h
@@ -19,22 +19,22 @@
     keep,  ///< It is reported as running and keeps its place.
 };
 
-/// Tracks the calls of an executor that run at most once and are identified by the request id of
-/// the caller's attempt. A node that lost its connection to the executor settles the id: a call
-/// that has not started is fenced and will never start, so the node may send it to another executor
-/// or report that it did not run.
+/// Tracks the calls of an executor that are identified by the request id of the caller's attempt. A
+/// node that lost its connection to the executor settles the id: a call that has not started is
+/// fenced and will never start, so the node may send it to another executor or report that it did
+/// not run. For calls that may repeat, this saves the retry that an unknown outcome costs.
 ///
 /// Not thread-safe and does no I/O: the executor calls it in the critical section in which it
 /// decides whether a call starts.
 class attempt_ledger {
 public:
-    /// Records a call that waits for a slot. Returns false when the id is fenced or already
-    /// recorded; then the call must not run.
-    bool admit(const std::string& id, time_point now);
+    /// Records a call that waits for a slot. Returns false when the id is fenced or, for a call
+    /// that must not repeat, already recorded; then the call must not run.
+    bool admit(const std::string& id, time_point now, bool may_repeat = false);
 
     /// Marks a waiting call as started. Returns false when it was fenced while it waited; then it
     /// must not run.
-    bool start(const std::string& id);
+    bool start(const std::string& id, bool may_repeat = false);
 
     /// Removes a call that was refused before it started, so that it may be sent here again. No
     /// effect on a call that has started.
--- a/include/chestnutstand/node/executor.h
+++ b/include/chestnutstand/node/executor.h
@@ -88,8 +88,8 @@
 
     load_report report() const;
 
-    /// Returns the state of an at-most-once call by its request id, and fences the id unless the
-    /// call has started or is kept.
+    /// Returns the state of a routed call by its request id, and fences the id unless the call has
+    /// started or is kept. The response of a call is returned only if it runs at most once.
     settle_result settle_attempt(const attempt_query& query);
 
     /// Whether no call is queued, running or waiting for a slowdown probe.
--- a/lib/keys/attempt_ledger.cpp
+++ b/lib/keys/attempt_ledger.cpp
@@ -13,20 +13,31 @@
 
 } // namespace
 
-bool attempt_ledger::admit(const std::string& id, time_point now)
+bool attempt_ledger::admit(const std::string& id, time_point now, bool may_repeat)
 {
     expire(now);
-    return entries_.try_emplace(id).second;
+    const auto [found, is_new] = entries_.try_emplace(id);
+    if (is_new) {
+        return true;
+    }
+    if (!may_repeat || found->second.state == attempt_state::fenced) {
+        return false;
+    }
+    found->second.state = attempt_state::queued;
+    return true;
 }
 
-bool attempt_ledger::start(const std::string& id)
+bool attempt_ledger::start(const std::string& id, bool may_repeat)
 {
     const auto found = entries_.find(id);
-    if (found == entries_.end() || found->second.state != attempt_state::queued) {
-        return false;
+    if (found == entries_.end()) {
+        return may_repeat;
     }
-    found->second.state = attempt_state::started;
-    return true;
+    auto& state = found->second.state;
+    const bool may_start =
+        state == attempt_state::queued || (may_repeat && state != attempt_state::fenced);
+    state = may_start ? attempt_state::started : state;
+    return may_start;
 }
 
 void attempt_ledger::refuse(const std::string& id)
--- a/lib/node/attempt_result.h
+++ b/lib/node/attempt_result.h
@@ -17,13 +17,13 @@
            result.reason == reason_code::upstream_refused;
 }
 
-/// Returns true if the executor of the attempt knows more than the result tells: the response was
-/// lost, or the call arrived after a query about it had fenced it.
-inline bool is_settleable(const call_result& result)
+/// Returns true if the executor of the attempt has to be asked for its outcome: the call arrived
+/// after a query that may have fenced it, or its response was lost and it must not run again.
+inline bool needs_settlement(const call_result& result, bool may_repeat)
 {
     return result.outcome == call_outcome::unknown &&
-           (result.reason == reason_code::peer_connection_lost ||
-            result.reason == reason_code::key_running);
+           (result.reason == reason_code::key_running ||
+            (result.reason == reason_code::peer_connection_lost && !may_repeat));
 }
 
 /// Returns true if an admission queue refused the attempt.
--- a/lib/node/dispatcher.cpp
+++ b/lib/node/dispatcher.cpp
@@ -220,7 +220,8 @@
     sent.request.fresh_connection = fresh_connection;
     send(attempt->target, std::move(sent), attempt->budget, attempt->cancel,
          [self = shared_from_this(), state, attempt](call_result result) {
-             if (is_settleable(result) && self->may_be_settled(*state, *attempt)) {
+             if (needs_settlement(result, state->idempotent) &&
+                 self->may_be_settled(*state, *attempt)) {
                  self->settle(state, attempt);
                  return;
              }
--- a/lib/node/dispatcher_settlement.cpp
+++ b/lib/node/dispatcher_settlement.cpp
@@ -1,4 +1,5 @@
 #include "dispatcher_core.h"
+#include "routed_call.h"
 
 #include "chestnutstand/keys/attempt_ledger.h"
 
@@ -16,6 +17,8 @@
 /// is one, after this share of the time that it has.
 constexpr double overdue_per_percentile = 2.0;
 constexpr double overdue_share_of_time = 0.25;
+/// Leaves time for a second attempt.
+constexpr double max_overdue_share_of_time = 0.5;
 /// Lower bound of the time after which an attempt is overdue: that after which a member with a call
 /// in flight counts as silent.
 constexpr milliseconds min_overdue{150};
@@ -33,19 +36,18 @@
 
 } // namespace
 
-/// Whether the executor of an attempt of an at-most-once call can be asked for its outcome: it is
-/// another node, and there is time to use the response.
+/// Whether the executor of an attempt of a routed call can be asked for its outcome: it is another
+/// node, and there is time to use the response.
 bool dispatcher::core::may_be_settled(const dispatched_call& state,
                                       const dispatched_attempt& attempt) const
 {
-    return state.call.repeat == repeatability::at_most_once && !attempt.ended &&
+    return is_routed(state.call) && !attempt.ended &&
            attempt.target->node.instance != options_.self_instance &&
            options_.now() + settle_timeout < state.call.deadline;
 }
 
-/// Asks the executor for the outcome of an attempt whose connection was lost. An at-most-once call
-/// has no idempotency key; its request id stands in for one, in the request and in the reason
-/// key_fenced.
+/// Asks the executor for the outcome of an attempt whose connection was lost. A routed call has no
+/// idempotency key; its request id stands in for one, in the request and in the reason key_fenced.
 void dispatcher::core::settle(const call_state& state, const attempt_state& attempt)
 {
     peers_.settle(
@@ -62,9 +64,10 @@
 milliseconds dispatcher::core::overdue_delay(const dispatched_call& state)
 {
     const auto percentile = selector_.hedge_delay(state.call.service, state.call.priority);
-    const milliseconds delay = percentile
-                                   ? *percentile * overdue_per_percentile
-                                   : (state.call.deadline - options_.now()) * overdue_share_of_time;
+    const milliseconds left = state.call.deadline - options_.now();
+    const milliseconds delay = percentile ? std::min(*percentile * overdue_per_percentile,
+                                                     left * max_overdue_share_of_time)
+                                          : left * overdue_share_of_time;
     return std::max(delay, min_overdue);
 }
 
@@ -104,14 +107,19 @@
 void dispatcher::core::finish_overdue_query(const call_state& state, const attempt_state& attempt,
                                             const settle_result& settled, milliseconds delay)
 {
+    if (settled.state == settle_state::running) {
+        schedule_overdue_query(state, attempt, delay);
+        return;
+    }
     auto result = result_of(settled);
+    if (!result && settled.state == settle_state::unknown && state->idempotent) {
+        // The call has ended and its response was lost.
+        result = unknown_outcome(reason_code::peer_connection_lost);
+    }
     if (!result) {
-        if (settled.state == settle_state::running) {
-            schedule_overdue_query(state, attempt, delay);
-        }
         return;
     }
-    if (result->outcome == call_outcome::not_run) {
+    if (result->outcome != call_outcome::completed) {
         const std::lock_guard lock{state->mutex};
         state->fresh_connections = true;
     }
--- a/lib/node/executor.cpp
+++ b/lib/node/executor.cpp
@@ -260,10 +260,10 @@
 void executor::enter_queue(call_execution_ptr execution, time_point now, deferred_actions& deferred)
 {
     const auto priority = find_class(execution->call).value();
-    const bool at_most_once = runs_at_most_once(execution->call);
-    // An at-most-once call has no idempotency key; key_running refers to its request id, which is
-    // fenced or belongs to another copy of the call.
-    if (at_most_once && !attempts_.admit(execution->call.request_id, now)) {
+    // A routed call has no idempotency key; key_running refers to its request id, which is fenced
+    // or belongs to another copy of the call.
+    if (is_routed(execution->call) &&
+        !attempts_.admit(execution->call.request_id, now, !runs_at_most_once(execution->call))) {
         deferred.refusals.push_back({execution->done, execution->key, reason_code::key_running,
                                      report_locked(), execution->call.request_id});
         return;
@@ -315,8 +315,8 @@
     }
     queue_->finish(execution->id, {}, now);
     executions_.erase(execution->id);
-    // key_fenced refers to the request id here: an at-most-once call has no idempotency key.
-    if (runs_at_most_once(execution->call)) {
+    // key_fenced refers to the request id here: a routed call has no idempotency key.
+    if (is_routed(execution->call)) {
         deferred.refusals.push_back({execution->done, execution->key, reason_code::key_fenced,
                                      report_locked(), execution->call.request_id});
     }
@@ -330,7 +330,8 @@
     if (execution.key && !keys_.start(*execution.key)) {
         return false;
     }
-    if (runs_at_most_once(execution.call) && !attempts_.start(execution.call.request_id)) {
+    if (is_routed(execution.call) &&
+        !attempts_.start(execution.call.request_id, !runs_at_most_once(execution.call))) {
         return false;
     }
     execution.upstream = *upstream_;
@@ -342,7 +343,7 @@
 
 void executor::discard_attempt(const call_execution& execution)
 {
-    if (runs_at_most_once(execution.call)) {
+    if (is_routed(execution.call)) {
         attempts_.refuse(execution.call.request_id);
     }
 }
@@ -471,6 +472,11 @@
         if (runs_at_most_once(execution->call)) {
             attempts_.finish(execution->call.request_id, result, now);
         }
+        else if (is_routed(execution->call)) {
+            // The response of a repeatable call is not kept: the call can run again.
+            attempts_.finish(execution->call.request_id,
+                             unknown_outcome(reason_code::key_table_full), now);
+        }
         queue_->finish(execution->id, sample, now);
         apply_queue_decisions(now, deferred);
         result.load = report_locked();
--- a/unittests/keys/attempt_ledger_test.cpp
+++ b/unittests/keys/attempt_ledger_test.cpp
@@ -47,6 +47,21 @@
     EXPECT_FALSE(ledger_.admit("lost", now_));
 }
 
+// Guards against a repeatable call that is refused because its id was used before, and against one
+// that runs although it is fenced.
+TEST_F(attempt_ledger_test, repeatable_call_runs_again_unless_it_is_fenced)
+{
+    for (int i = 0; i < 2; ++i) {
+        EXPECT_TRUE(ledger_.admit(id, now_, true));
+        EXPECT_TRUE(ledger_.start(id, true));
+    }
+    ledger_.finish(id, completed(), now_);
+    EXPECT_TRUE(ledger_.admit(id, now_, true));
+    EXPECT_EQ(settle(), settle_state::fenced);
+    EXPECT_FALSE(ledger_.start(id, true));
+    EXPECT_FALSE(ledger_.admit(id, now_, true));
+}
+
 // Guards against a running call that is settled as fenced, and against a lost response.
 TEST_F(attempt_ledger_test, reports_a_running_call_and_then_its_response)
 {
--- a/unittests/node/executor_test.cpp
+++ b/unittests/node/executor_test.cpp
@@ -335,5 +335,19 @@
     EXPECT_EQ(upstream_.last_id, 3U);
 }
 
+// Guards against a repeatable call that runs although it was reported as not run, because it
+// arrived after the query about it.
+TEST_F(executor_test, does_not_run_a_routed_call_that_was_fenced_before_it_arrived)
+{
+    EXPECT_EQ(executor_.settle_attempt({"1", queued_attempt::keep}).state, settle_state::fenced);
+    service_call call;
+    call.repeat = repeatability::repeatable;
+    EXPECT_EQ(reason_of(execute(call)), reason_code::key_running);
+    execute(call);
+    EXPECT_EQ(executor_.settle_attempt({"2", queued_attempt::keep}).state, settle_state::running);
+    upstream_.respond(1, 200);
+    EXPECT_EQ(executor_.settle_attempt({"2", queued_attempt::keep}).state, settle_state::unknown);
+}
+
 } // namespace
 } // namespace chestnutstand
--- a/unittests/node/routed_dispatch_test.cpp
+++ b/unittests/node/routed_dispatch_test.cpp
@@ -184,11 +184,17 @@
                 EXPECT_EQ(query->queued, queued_attempt::keep);
                 done(settled_);
             });
+        dispatch(repeatability::at_most_once);
+    }
+
+    void dispatch(repeatability repeat)
+    {
         service_call call;
         call.service = "ledger";
         call.priority = "lookup";
         call.deadline = now_ + milliseconds{1000};
-        call.repeat = repeatability::at_most_once;
+        call.repeat = repeat;
+        call.retry_budget = repeat == repeatability::repeatable ? 1 : 0;
         call.request_id = "attempt-1";
         dispatcher_->dispatch(call,
                               [this](call_result reported) { result_ = std::move(reported); });
@@ -242,6 +248,34 @@
     EXPECT_EQ(attempts_.size(), 2U);
 }
 
+// Guards against a repeatable call that waits on a silent connection until its time has passed, or
+// whose second attempt needs a retry although the first has reached no upstream.
+TEST_F(overdue_dispatch, sends_a_repeatable_call_that_has_not_arrived_without_a_retry)
+{
+    for (int i = 0; i < 30; ++i) {
+        attempts_.clear();
+        result_.reset();
+        settled_ = {settle_state::fenced, {}, reason_code::key_fenced, {}};
+        dispatch(repeatability::repeatable);
+        run_last_timer();
+        ASSERT_TRUE(result_);
+        EXPECT_EQ(result_->outcome, call_outcome::completed);
+        now_ += milliseconds{50};
+    }
+}
+
+// Guards against a repeatable call that waits for a response that was lost.
+TEST_F(overdue_dispatch, repeats_a_repeatable_call_whose_response_was_lost)
+{
+    attempts_.clear();
+    settled_ = {settle_state::unknown, {}, reason_code::none, {}};
+    dispatch(repeatability::repeatable);
+    run_last_timer();
+    ASSERT_TRUE(result_);
+    EXPECT_EQ(result_->outcome, call_outcome::completed);
+    EXPECT_EQ(attempts_.size(), 2U);
+}
+
 // Guards against a response that is ready and not delivered.
 TEST_F(overdue_dispatch, delivers_the_response_that_the_connection_lost)
 {
