Read numbers and statuses of other nodes' messages with limits

From the reports of other operators: one malformed message takes a process down. Cause: a time limit that is not a number, or is infinite, became the deadline of a call; the queue sorts by deadlines, and a set whose elements no comparison orders is undefined. A completed call without a response was passed on with status 0. Random and truncated messages did no harm (test).

--- a/lib/transport/wire_convert.cpp
+++ b/lib/transport/wire_convert.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <utility>
 
 namespace chestnutstand {
@@ -40,6 +41,22 @@
     return {static_cast<int>(from.status()), headers_from_wire(from.headers()), from.body()};
 }
 
+/// Longer than any call, and short enough for arithmetic with the clock.
+constexpr double max_duration_ms = 86'400'000.0;
+constexpr int lowest_final_status = 200;
+constexpr int highest_status = 599;
+
+/// A duration from a message, which may hold any number.
+milliseconds duration_from_wire(double ms)
+{
+    return milliseconds{std::isnan(ms) ? 0.0 : std::clamp(ms, -max_duration_ms, max_duration_ms)};
+}
+
+bool is_final_status(int status)
+{
+    return status >= lowest_final_status && status <= highest_status;
+}
+
 constexpr std::array wire_outcomes{wire::OUTCOME_COMPLETED, wire::OUTCOME_NOT_RUN,
                                    wire::OUTCOME_UNKNOWN};
 
@@ -89,7 +106,7 @@
     service_call result;
     result.service = call.service();
     result.priority = call.priority();
-    result.deadline = ms_clock::now() + milliseconds{call.timeout_ms()};
+    result.deadline = ms_clock::now() + duration_from_wire(call.timeout_ms());
     result.depth = call.depth();
     result.retry_budget = call.retry_budget();
     result.idempotency_key = call.idempotency_key();
@@ -132,10 +149,10 @@
     for (const auto& queue : load.queues()) {
         result.queues.push_back({queue.priority(), queue.length()});
     }
-    result.latency = milliseconds{load.latency_ms()};
+    result.latency = duration_from_wire(load.latency_ms());
     result.draining = load.draining();
     result.upstream_registered = load.upstream_registered();
-    result.pace = load.pace() > 0.0 ? load.pace() : 1.0;
+    result.pace = load.pace() > 0.0 && std::isfinite(load.pace()) ? load.pace() : 1.0;
     return result;
 }
 
@@ -161,6 +178,9 @@
     if (reply.has_response()) {
         result.response = response_from_wire(reply.response());
     }
+    if (result.outcome == call_outcome::completed && !is_final_status(result.response.status)) {
+        result = unknown_outcome(reason_code::internal);
+    }
     if (reply.has_load()) {
         result.load = from_wire(reply.load());
     }
@@ -187,6 +207,9 @@
     result.state = value_from_wire(wire_settle_states, reply.state(), settle_state::unknown);
     result.response = response_from_wire(reply.response());
     result.reason = reason_names.find(reply.reason()).value_or(reason_code::internal);
+    if (result.state == settle_state::completed && !is_final_status(result.response.status)) {
+        result.state = settle_state::unknown;
+    }
     if (reply.request().size() == fingerprint{}.size()) {
         result.request.emplace();
         std::copy(reply.request().begin(), reply.request().end(), result.request->begin());
