--- a/lib/node/dispatcher_settlement.cpp
+++ b/lib/node/dispatcher_settlement.cpp
@@ -22,6 +22,7 @@
 /// Lower bound of the time after which an attempt is overdue: that after which a member with a call
 /// in flight counts as silent.
 constexpr milliseconds min_overdue{150};
+
 /// Result of an attempt from what its executor reports; empty while the call may still run.
 std::optional<call_result> result_of(const settle_result& settled)
 {
