--- a/lib/transport/client_sockets.h
+++ b/lib/transport/client_sockets.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <compare>
 #include <map>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace chestnutstand {
@@ -13,7 +13,11 @@
     int peer_port = 0;
     int local_port = 0;
 
-    friend auto operator<=>(const connection_key&, const connection_key&) = default;
+    friend bool operator<(const connection_key& left, const connection_key& right)
+    {
+        return std::tie(left.peer_address, left.peer_port, left.local_port) <
+               std::tie(right.peer_address, right.peer_port, right.local_port);
+    }
 };
 
 /// Sockets of one HTTP client, found by the endpoints of their connections: libcurl does not tell
--- a/lib/transport/http_peer_client.cpp
+++ b/lib/transport/http_peer_client.cpp
@@ -159,7 +159,7 @@
     }
 
     template <typename Reply, typename Done>
-    void query(const node_reference& target, http_request http_message, milliseconds timeout,
+    void query(const node_reference& target, http_request&& http_message, milliseconds timeout,
                Done done)
     {
         client_.send(url_of(target), std::move(http_message), timeout,
