--- a/unittests/transport/malformed_message_test.cpp
+++ b/unittests/transport/malformed_message_test.cpp
@@ -11,6 +11,7 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace chestnutstand {
@@ -50,7 +51,8 @@
 {
     std::promise<http_result> ended;
     client.send("http://127.0.0.1:" + std::to_string(port), {"POST", path, {}, std::move(body)},
-                milliseconds{10'000}, [&](http_result result) { ended.set_value(result); });
+                milliseconds{10'000},
+                [&](http_result result) { ended.set_value(std::move(result)); });
     return ended.get_future().get();
 }
 
