--- a/review/common/stand_ins.h
+++ b/review/common/stand_ins.h
@@ -737,13 +737,19 @@
 
     void publish(const std::string& document) { store->put("keyed.op", "config", document); }
 
-    /// Starts all nodes and waits until each is ready and knows the members of each service.
+    /// Starts all nodes, waits until each is ready and knows the members of each service, and then
+    /// for StableWindowS, after which all machines are in touch.
     bool start(const std::map<std::string, int>& members)
     {
         for (const auto& node : nodes) {
             node->start();
         }
-        return wait_for_members(members);
+        if (!wait_for_members(members)) {
+            return false;
+        }
+        std::this_thread::sleep_for(stable_window);
+        record.add("calm     for StableWindowS since all nodes are ready");
+        return true;
     }
 
     bool wait_for_members(const std::map<std::string, int>& members)
@@ -764,6 +770,8 @@
     std::vector<std::unique_ptr<relay>> relays;
 
 private:
+    static constexpr milliseconds stable_window{3'100};
+
     bool all_ready(const std::map<std::string, int>& members) const
     {
         for (const auto& node : nodes) {
