Refuse responses with an invalid head

Cause: the client left the grammar of responses to libcurl, which takes from an invalid head what it understands: the digits before the first other character of a length, the last of several lengths, an interim response's length for the final one, lines that are no fields. The framer of requests read the same grammar strictly, with code of its own.

Change: message_grammar is the one reading of field lines, status lines and body framing; request_framer and the new response_reader use it. The reader also checks the size of the body against the length that it has read. An invalid response is http_error::malformed, upstream_answer_malformed in logs and responses: outcome unknown, connection closed. It applies to all HTTP clients: upstreams, health and load, other nodes, the store.

On the way: a status 101, which nothing asks for, is refused; a connection with bytes behind a chunked body is not used again; a field value of a request that ends with a carriage return is refused.

Tests: http_client.refuses_an_invalid_head and http_server_test.refuses_the_fields_that_the_client_refuses share one table; http_client.never_delivers_a_part_of_a_body_when_a_byte_of_the_head_is_spoiled and closes_a_connection_with_bytes_behind_a_chunked_body. Two checks of refuses_responses_that_are_not_whole and the cut heads name the new error for invalid framing, which was reported as truncated before.

--- a/include/chestnutstand/transport/http_client.h
+++ b/include/chestnutstand/transport/http_client.h
@@ -16,7 +16,8 @@
     connect_failed,  ///< No byte of the request was sent.
     timed_out,       ///< The request may have been received.
     connection_lost, ///< The request may have been received.
-    truncated,       ///< The response was shorter than its framing states, or the framing invalid.
+    truncated,       ///< The response was shorter than its framing states.
+    malformed,       ///< The bytes received are not a valid response.
     unframed,        ///< The response had neither Content-Length nor chunked framing.
     too_large,       ///< The response exceeded the size limit.
     cancelled,
--- a/lib/config/http_log_client.cpp
+++ b/lib/config/http_log_client.cpp
@@ -26,6 +26,8 @@
         return absl::DeadlineExceededError("the log service did not answer in time");
     case http_error::too_large:
         return absl::ResourceExhaustedError("the answer of the log service is too large");
+    case http_error::malformed:
+        return absl::DataLossError("the answer of the log service is not a valid HTTP response");
     case http_error::connection_lost:
     case http_error::truncated:
     case http_error::unframed:
--- a/lib/keys/key_owner.cpp
+++ b/lib/keys/key_owner.cpp
@@ -13,6 +13,7 @@
     case reason_code::upstream_timeout:
     case reason_code::upstream_connection_lost:
     case reason_code::upstream_answer_truncated:
+    case reason_code::upstream_answer_malformed:
     case reason_code::upstream_answer_mismatched:
     case reason_code::upstream_answer_unframed:
     case reason_code::upstream_answer_too_large:
--- a/lib/node/upstream_exchange.cpp
+++ b/lib/node/upstream_exchange.cpp
@@ -33,6 +33,8 @@
         return reason_code::upstream_timeout;
     case http_error::truncated:
         return reason_code::upstream_answer_truncated;
+    case http_error::malformed:
+        return reason_code::upstream_answer_malformed;
     case http_error::unframed:
         return reason_code::upstream_answer_unframed;
     case http_error::too_large:
--- a/lib/transport/curl_client.cpp
+++ b/lib/transport/curl_client.cpp
@@ -1,5 +1,5 @@
-#include "chunked_body.h"
 #include "client_sockets.h"
+#include "response_reader.h"
 
 #include "chestnutstand/transport/headers.h"
 #include "chestnutstand/transport/http_client.h"
@@ -32,23 +32,11 @@
 /// A handle takes a few kilobytes; more concurrent transfers than this are rare.
 constexpr std::size_t max_idle_handles = 64;
 constexpr int poll_timeout_ms = 1'000;
-constexpr int status_no_content = 204;
-constexpr int status_not_modified = 304;
-
-/// Limit of the bytes of all header lines of a response, including those of interim responses.
-/// Servers commonly limit a head to 8 to 64 KiB.
-constexpr std::size_t max_header_bytes = 131'072;
-
-/// Limit of the bytes of a chunked body with its framing, relative to the limit of its content.
-/// Servers send chunks of kilobytes, whose framing takes less than a hundredth.
-constexpr std::size_t max_chunk_expansion = 2;
-
 /// A request and the response received so far.
 struct transfer {
     http_client::request_id id = 0;
     http_request request;
     http_client::http_done done;
-    http_result result;
     time_point started;
     milliseconds timeout{0};
     CURL* handle = nullptr;
@@ -59,20 +47,7 @@
     /// The connection chosen for the request was closed by the server, or has bytes to read that
     /// belong to no request. Nothing was sent on it.
     bool connection_unusable = false;
-    bool headers_complete = false;
-    /// The current header block belongs to an interim (1xx) response.
-    bool interim = false;
-    bool too_large = false;
-    bool malformed = false;
-    std::size_t header_bytes = 0;
-    std::size_t max_response_bytes = 0;
-    /// Set if the body is chunked. It is not decoded by libcurl, which skips chunk extensions and
-    /// trailers of any length.
-    std::optional<chunked_body> chunks;
-    std::size_t chunked_bytes = 0;
-    /// Received bytes of the chunked body that are not decoded yet.
-    std::string undecoded;
-    bool chunks_complete = false;
+    std::optional<response_reader> reader;
 
     transfer() = default;
     transfer(const transfer&) = delete;
@@ -85,98 +60,36 @@
 };
 
 /// Whether the response returns the value of the request's echoed_header.
-bool response_matches_request(const transfer& exchange)
+bool response_matches_request(transfer& exchange)
 {
     const auto& name = exchange.request.echoed_header;
-    return name.empty() || find_header(exchange.result.response.headers, name) ==
+    return name.empty() || find_header(exchange.reader->response().headers, name) ==
                                find_header(exchange.request.headers, name);
 }
 
-bool is_interim(std::string_view status_line)
-{
-    const auto space = status_line.find(' ');
-    return space != std::string_view::npos && status_line.substr(space + 1, 1) == "1";
-}
-
 std::size_t on_header(char* data, std::size_t size, std::size_t count, void* user)
 {
     auto& exchange = *static_cast<transfer*>(user);
-    const std::string_view line{data, size * count};
-    exchange.header_bytes += line.size();
-    if (exchange.header_bytes > max_header_bytes) {
-        exchange.too_large = true;
+    const std::size_t length = size * count;
+    if (!exchange.reader->add_header_line({data, length})) {
         return 0;
     }
-    if (line.rfind("HTTP/", 0) == 0) {
-        // Starts a new header block, for example after 100 Continue.
-        exchange.result.response.headers.clear();
-        exchange.chunks.reset();
-        exchange.headers_complete = false;
-        exchange.interim = is_interim(line);
-        return line.size();
-    }
-    if (line == "\r\n" || line == "\n") {
-        exchange.headers_complete = true;
-        if (!exchange.interim && !response_matches_request(exchange)) {
-            curl_easy_setopt(exchange.handle, CURLOPT_FORBID_REUSE, 1L);
-        }
-        return line.size();
-    }
-    const auto colon = line.find(':');
-    if (colon == std::string_view::npos) {
-        return line.size();
-    }
-    http_header field{std::string{line.substr(0, colon)},
-                      std::string{trim_whitespace(line.substr(colon + 1))}};
-    if (header_name_equal(field.name, "transfer-encoding")) {
-        // The request names no transfer coding that it accepts besides the implied chunked.
-        if (exchange.chunks || !header_name_equal(field.value, "chunked")) {
-            exchange.malformed = true;
-            return 0;
-        }
-        exchange.chunks.emplace(exchange.max_response_bytes);
+    if (exchange.reader->is_head_complete() && !response_matches_request(exchange)) {
+        curl_easy_setopt(exchange.handle, CURLOPT_FORBID_REUSE, 1L);
     }
-    exchange.result.response.headers.push_back(std::move(field));
-    return line.size();
-}
-
-/// Returns whether the transfer may continue.
-bool decode_chunks(transfer& exchange, std::string_view received)
-{
-    exchange.chunked_bytes += received.size();
-    if (exchange.chunked_bytes / max_chunk_expansion > exchange.max_response_bytes) {
-        exchange.too_large = true;
-        return false;
-    }
-    exchange.undecoded.append(received);
-    switch (exchange.chunks->decode_from(exchange.undecoded)) {
-    case chunk_progress::incomplete:
-        return true;
-    case chunk_progress::complete:
-        exchange.chunks_complete = true;
-        return true;
-    case chunk_progress::malformed:
-        exchange.malformed = true;
-        return false;
-    case chunk_progress::too_large:
-        exchange.too_large = true;
-        return false;
-    }
-    return false;
+    return length;
 }
 
 std::size_t on_body(char* data, std::size_t size, std::size_t count, void* user)
 {
     auto& exchange = *static_cast<transfer*>(user);
     const std::size_t length = size * count;
-    if (exchange.chunks) {
-        return exchange.chunks_complete || decode_chunks(exchange, {data, length}) ? length : 0;
-    }
-    if (exchange.result.response.body.size() + length > exchange.max_response_bytes) {
-        exchange.too_large = true;
+    if (!exchange.reader->add_body({data, length})) {
         return 0;
     }
-    exchange.result.response.body.append(data, length);
+    if (exchange.reader->has_excess()) {
+        curl_easy_setopt(exchange.handle, CURLOPT_FORBID_REUSE, 1L);
+    }
     return length;
 }
 
@@ -226,48 +139,32 @@
     return static_cast<client_sockets*>(user)->close(socket);
 }
 
-/// Checks a body that libcurl takes to be complete.
-http_error check_framing(const transfer& exchange)
+/// Whether libcurl ended the transfer because it cannot read the response itself.
+bool is_unreadable(CURLcode code)
 {
-    const int status = exchange.result.response.status;
-    if (exchange.request.method == "HEAD" || status == status_no_content ||
-        status == status_not_modified) {
-        return http_error::none;
-    }
-    if (exchange.chunks) {
-        return exchange.chunks_complete ? http_error::none : http_error::truncated;
-    }
-    return find_header(exchange.result.response.headers, "content-length") ? http_error::none
-                                                                           : http_error::unframed;
+    return code == CURLE_WEIRD_SERVER_REPLY || code == CURLE_UNSUPPORTED_PROTOCOL;
 }
 
-http_error error_of(const transfer& exchange, CURLcode code)
+http_error error_of(transfer& exchange, CURLcode code)
 {
-    // libcurl reports success when the connection closes in the middle of the header block.
-    if (code == CURLE_OK && !exchange.headers_complete) {
-        return exchange.result.response.status == 0 ? http_error::connection_lost
-                                                    : http_error::truncated;
-    }
+    response_reader& reader = *exchange.reader;
     if (code == CURLE_OK) {
-        return check_framing(exchange);
+        return reader.finish();
     }
     if (!exchange.request_sent) {
         return http_error::connect_failed;
     }
-    if (exchange.too_large) {
-        return http_error::too_large;
-    }
-    if (exchange.malformed) {
-        return http_error::truncated;
+    if (reader.error() != http_error::none) {
+        return reader.error();
     }
     if (code == CURLE_OPERATION_TIMEDOUT) {
         return http_error::timed_out;
     }
-    if (code == CURLE_PARTIAL_FILE ||
-        (code == CURLE_RECV_ERROR && exchange.result.response.status)) {
-        return http_error::truncated;
+    if (is_unreadable(code)) {
+        return http_error::malformed;
     }
-    return http_error::connection_lost;
+    const bool ended_early = code == CURLE_PARTIAL_FILE || code == CURLE_RECV_ERROR;
+    return ended_early && reader.has_begun() ? http_error::truncated : http_error::connection_lost;
 }
 
 class curl_client;
@@ -307,7 +204,7 @@
         auto exchange = std::make_unique<transfer>();
         exchange->request = std::move(request);
         exchange->done = std::move(done);
-        exchange->max_response_bytes = max_response_bytes_;
+        exchange->reader.emplace(exchange->request.method == "HEAD", max_response_bytes_);
         exchange->started = ms_clock::now();
         exchange->timeout = timeout;
         exchange->handle = acquire_handle();
@@ -520,12 +417,6 @@
         if (ended->connection_unusable && restart(*ended)) {
             continue;
         }
-        long status = 0;
-        curl_easy_getinfo(message->easy_handle, CURLINFO_RESPONSE_CODE, &status);
-        ended->result.response.status = static_cast<int>(status);
-        if (ended->chunks) {
-            ended->result.response.body = std::move(ended->chunks->bytes());
-        }
         finish(ended->id, error_of(*ended, code));
     }
 }
@@ -551,7 +442,7 @@
     std::vector<request_id> silent;
     std::erase_if(response_start_limits_, [&](const auto& limit) {
         const auto found = running_.find(limit.first);
-        if (found == running_.end() || found->second->header_bytes > 0) {
+        if (found == running_.end() || found->second->reader->has_begun()) {
             return true;
         }
         if (now >= limit.second) {
@@ -580,9 +471,7 @@
     // attributed to another request.
     curl_multi_remove_handle(multi_, ended->handle);
     release_handle(std::exchange(ended->handle, nullptr));
-    ended->result.error = error;
-    ended->result.elapsed = ms_clock::now() - ended->started;
-    ended->done(std::move(ended->result));
+    ended->done({error, std::move(ended->reader->response()), ms_clock::now() - ended->started});
 }
 
 void curl_client::cancel_all()
--- a/lib/transport/request_framer.cpp
+++ b/lib/transport/request_framer.cpp
@@ -1,5 +1,7 @@
 #include "request_framer.h"
 
+#include "message_grammar.h"
+
 #include "chestnutstand/transport/headers.h"
 
 #include <absl/strings/ascii.h>
@@ -9,7 +11,7 @@
 #include <pistache/http.h>
 
 #include <algorithm>
-#include <charconv>
+#include <cstdint>
 #include <utility>
 #include <vector>
 
@@ -28,23 +30,6 @@
     return {400, reason_code::malformed_request, std::move(detail), {}};
 }
 
-/// Characters of a method or a field name (RFC 9110, 5.6.2).
-bool is_token(std::string_view text)
-{
-    constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
-    return !text.empty() && std::all_of(text.begin(), text.end(), [&](char c) {
-        return absl::ascii_isalnum(static_cast<unsigned char>(c)) ||
-               marks.find(c) != std::string_view::npos;
-    });
-}
-
-bool is_field_value(std::string_view text)
-{
-    return std::none_of(text.begin(), text.end(), [](char c) {
-        return c != '\t' && absl::ascii_iscntrl(static_cast<unsigned char>(c));
-    });
-}
-
 // The next hop may parse a fragment or an unencoded character differently.
 bool is_origin_form(std::string_view target)
 {
@@ -94,23 +79,6 @@
     return std::nullopt;
 }
 
-std::optional<request_refusal> parse_field(std::string_view line, http_request& request)
-{
-    const auto colon = line.find(':');
-    const std::string_view name = line.substr(0, colon);
-    // Also rejects a folded line and a space before the colon: the name then begins or ends with
-    // one.
-    if (colon == std::string_view::npos || !is_token(name)) {
-        return malformed("a header line must be NAME: VALUE");
-    }
-    const std::string_view value = trim_whitespace(line.substr(colon + 1));
-    if (!is_field_value(value)) {
-        return malformed(absl::StrCat("header ", std::string{name}, " has a control character"));
-    }
-    request.headers.push_back({std::string{name}, std::string{value}});
-    return std::nullopt;
-}
-
 std::size_t count_headers(const http_request& request, std::string_view name)
 {
     return static_cast<std::size_t>(
@@ -257,9 +225,11 @@
         return *refused;
     }
     while (!block.empty()) {
-        if (auto refused = parse_field(take_line(block), request)) {
-            return *refused;
+        auto field = parse_field_line(take_line(block));
+        if (!field.ok()) {
+            return malformed(std::string{field.status().message()});
         }
+        request.headers.push_back(*std::move(field));
     }
     const std::size_t hosts = count_headers(request, "host");
     if (hosts > 1 || (hosts == 0 && result.parsed.keep_alive)) {
@@ -283,34 +253,18 @@
 
 std::optional<request_refusal> request_framer::read_body_length(head& result) const
 {
-    const http_request& request = result.parsed.request;
-    const std::size_t lengths = count_headers(request, "content-length");
-    if (count_headers(request, "transfer-encoding") > 0) {
-        if (lengths > 0) {
-            return malformed("Content-Length and Transfer-Encoding exclude each other");
-        }
-        if (count_headers(request, "transfer-encoding") > 1 ||
-            !header_name_equal(*find_header(request.headers, "transfer-encoding"), "chunked")) {
-            return malformed("the only transfer encoding that is read is chunked");
-        }
-        result.chunks.emplace(max_body_bytes_);
-        return std::nullopt;
-    }
-    if (lengths == 0) {
-        return std::nullopt;
+    const auto framing = read_body_framing(result.parsed.request.headers);
+    if (!framing.ok()) {
+        return malformed(std::string{framing.status().message()});
     }
-    const std::string_view text = *find_header(request.headers, "content-length");
-    const bool digits = !text.empty() && std::all_of(text.begin(), text.end(), [](char c) {
-        return absl::ascii_isdigit(static_cast<unsigned char>(c));
-    });
-    if (lengths > 1 || !digits) {
-        return malformed("Content-Length must be one non-negative integer");
+    if (framing->chunked) {
+        result.chunks.emplace(max_body_bytes_);
     }
-    const char* end = text.data() + text.size();
-    const bool fits = std::from_chars(text.data(), end, result.body_bytes).ec == std::errc{};
-    if (!fits || result.body_bytes > max_body_bytes_) {
+    const std::uint64_t length = framing->length.value_or(0);
+    if (length > max_body_bytes_) {
         return body_too_large();
     }
+    result.body_bytes = length;
     return std::nullopt;
 }
 
--- a/unittests/transport/http_server_test.cpp
+++ b/unittests/transport/http_server_test.cpp
@@ -1,6 +1,7 @@
 #include "chestnutstand/transport/headers.h"
 #include "chestnutstand/transport/http_server.h"
 
+#include "invalid_fields.h"
 #include "raw_socket.h"
 
 #include <gtest/gtest.h>
@@ -159,6 +160,17 @@
     int status;
 };
 
+// Guards against requests and responses that are read by different grammars.
+TEST_F(http_server_test, refuses_the_fields_that_the_client_refuses)
+{
+    for (const std::string& fields : chestnutstand::testing::invalid_fields) {
+        const auto received =
+            response_until_close("POST /x HTTP/1.1\r\nHost: x\r\n" + fields + "\r\n\r\n0123456789");
+        EXPECT_EQ(received.rfind("HTTP/1.1 400 ", 0), 0U) << fields << received;
+    }
+    EXPECT_EQ(handled_, 0);
+}
+
 // Guards against malformed requests that reach the handler or are refused with a wrong status.
 TEST_F(http_server_test, refuses_malformed_requests_and_closes)
 {
