Count responses that are being written as work of a stopping node

Change: the HTTP server counts the connections whose request is handled or whose response is being written. A node is idle when that of the callers' server and that of the server for other nodes are zero.

Test: http_server_test.is_idle_only_when_all_responses_are_written, for a function that did not exist before.

--- a/include/chestnutstand/transport/http_server.h
+++ b/include/chestnutstand/transport/http_server.h
@@ -73,6 +73,9 @@
     absl::Status start();
     std::uint16_t port() const;
 
+    /// Whether no request is being handled and no response is being written.
+    bool idle() const;
+
     /// Closes the listening socket and all connections. Idempotent.
     void stop();
 
--- a/include/chestnutstand/transport/node_server.h
+++ b/include/chestnutstand/transport/node_server.h
@@ -44,6 +44,9 @@
     virtual absl::Status start() = 0;
     virtual std::uint16_t port() const = 0;
 
+    /// Whether all replies have been written. Always true for gRPC, whose stop() waits for them.
+    virtual bool idle() const { return true; }
+
     /// Cancels the calls still running: the gRPC server after the timeout, the HTTP server at once.
     /// Idempotent.
     virtual void stop(milliseconds timeout) = 0;
--- a/lib/node/components/ingress_component.cpp
+++ b/lib/node/components/ingress_component.cpp
@@ -54,7 +54,7 @@
     void end_lame_duck(kernel& /*node*/) override { ingress_->refuse_new_calls(); }
     // The server refuses requests until the process ends. Closing its connections earlier would
     // leave callers without a response for as long as the other components take to stop.
-    bool idle() const override { return ingress_->idle(); }
+    bool idle() const override { return ingress_->idle() && server_->idle(); }
 
 private:
     /// Returns the limits of the current document, or the defaults if there is none yet.
--- a/lib/node/components/node_endpoint_component.cpp
+++ b/lib/node/components/node_endpoint_component.cpp
@@ -93,6 +93,7 @@
         return status;
     }
 
+    bool idle() const override { return server_->idle(); }
     void stop(kernel& /*node*/) override { server_->stop(stop_timeout); }
 
 private:
--- a/lib/transport/http_node_server.cpp
+++ b/lib/transport/http_node_server.cpp
@@ -156,6 +156,7 @@
 
     absl::Status start() override { return server_.start(); }
     std::uint16_t port() const override { return server_.port(); }
+    bool idle() const override { return server_.idle(); }
     void stop(milliseconds /*timeout*/) override { server_.stop(); }
 
 private:
--- a/lib/transport/pistache_server.cpp
+++ b/lib/transport/pistache_server.cpp
@@ -63,6 +63,11 @@
     return state_->port;
 }
 
+bool http_server::idle() const
+{
+    return state_->shared->busy_connections == 0;
+}
+
 void http_server::stop()
 {
     if (!state_->listener) {
--- a/lib/transport/server_transport.cpp
+++ b/lib/transport/server_transport.cpp
@@ -108,6 +108,8 @@
         return;
     }
     const auto abandoned = std::move(found->second.slot);
+    found->second.writing = false;
+    update_busy(found->second);
     blocked_writes_.erase(peer->fd());
     connections_.erase(found);
     --shared_->open_connections;
@@ -166,6 +168,7 @@
     client.in_request = false;
     client.slot = std::make_shared<response_slot>(
         queue_, client.peer->getID(), complete->request.method == "HEAD", complete->keep_alive);
+    update_busy(client);
     shared_->handle(std::move(complete->request), client.slot);
     return true;
 }
@@ -207,9 +210,20 @@
     write(client, serialize(entry.response, entry.slot->head_only(), client.closing));
 }
 
+void server_transport::update_busy(connection& client)
+{
+    const bool busy = client.slot || client.writing;
+    if (busy == client.counted_busy) {
+        return;
+    }
+    client.counted_busy = busy;
+    shared_->busy_connections += busy ? 1 : -1;
+}
+
 void server_transport::write(connection& client, std::string bytes)
 {
     client.writing = true;
+    update_busy(client);
     client.output = std::move(bytes);
     client.sent = 0;
     continue_write(client);
@@ -278,6 +292,7 @@
 {
     client.writing = false;
     client.output = {};
+    update_busy(client);
     client.broken = client.broken || !complete;
     if (client.broken) {
         pending_close_.push_back(client.peer->getID());
--- a/lib/transport/server_transport.h
+++ b/lib/transport/server_transport.h
@@ -50,6 +50,8 @@
     bool closing = false;
     /// Whether to close the connection without a further response.
     bool broken = false;
+    /// Whether the connection is counted in shared_server_state::busy_connections.
+    bool counted_busy = false;
 };
 
 /// State that the transports of one server share.
@@ -59,6 +61,8 @@
     std::mutex mutex;
     std::vector<std::shared_ptr<response_queue>> queues;
     std::atomic<std::uint32_t> open_connections = 0;
+    /// Connections whose request is being handled or whose response is being written.
+    std::atomic<std::uint32_t> busy_connections = 0;
 
     http_server_limits limits() const
     {
@@ -131,6 +135,8 @@
     /// Continues the writes of the ready connections. Returns the other events.
     Pistache::Aio::FdSet handle_writable(const Pistache::Aio::FdSet& ready);
     void wait_for_client(connection& client);
+    /// Updates the count of busy connections after a change of the connection's slot or output.
+    void update_busy(connection& client);
     void check_deadlines();
     void handle_timeout(connection& client);
     void arm_timer(time_point due);
--- a/unittests/transport/http_server_test.cpp
+++ b/unittests/transport/http_server_test.cpp
@@ -107,6 +107,36 @@
     EXPECT_NE(slow.receive_until_text("/again").find("200"), std::string::npos);
 }
 
+// Guards against a process that takes the server to be idle and ends while a response is written.
+TEST_F(http_server_test, is_idle_only_when_all_responses_are_written)
+{
+    constexpr std::size_t large = std::size_t{16} << 20U;
+    start();
+    EXPECT_TRUE(server_->idle());
+    hold_responses_ = true;
+    const auto client = connect();
+    client.send("GET /slow HTTP/1.1\r\nHost: x\r\n\r\n");
+    const auto held = wait_for_pending_responders(1);
+    ASSERT_EQ(held.size(), 1U);
+    EXPECT_FALSE(server_->idle());
+    held[0]->send({200, {}, std::string(large, 'x')});
+    std::this_thread::sleep_for(milliseconds{100});
+    EXPECT_FALSE(server_->idle());
+    client.receive_message();
+    const auto becomes_idle = [this] {
+        for (int i = 0; i < 10'000 && !server_->idle(); ++i) {
+            std::this_thread::sleep_for(milliseconds{1});
+        }
+        return server_->idle();
+    };
+    EXPECT_TRUE(becomes_idle());
+    auto leaving = connect();
+    leaving.send("GET /gone HTTP/1.1\r\nHost: x\r\n\r\n");
+    ASSERT_EQ(wait_for_pending_responders(2).size(), 2U);
+    leaving.close();
+    EXPECT_TRUE(becomes_idle());
+}
+
 // Guards against the loss of a request that arrives in one segment with another.
 TEST_F(http_server_test, answers_pipelined_requests_in_order)
 {
