Answer every request before a node stops

Cause: a drain waited until the node was idle or the limit had passed, and then the process ended. Nothing answered what was in flight by then.

Change: - The dispatcher withdraws calls that wait at other nodes: it settles them, which fences them there, and reports them as not run (draining). This happens when they could not be completed any more if they started, and once more shortly before the end in case the query is lost. Calls that run go on. - The executor refuses its own queued calls under the same condition, so that other nodes can place them. - Shortly before the limit, the ingress answers what is left with the new reason node_stopping, outcome unknown. It owns the open requests, so that a later result of the same call has no effect. - Calls are taken until that moment and not until the end of the process. A node that was paused beyond its limit still answers and writes.

--- a/include/chestnutstand/node/dispatcher.h
+++ b/include/chestnutstand/node/dispatcher.h
@@ -56,6 +56,10 @@
     /// be passed to this method, which does not check that: it goes through key_router.
     void dispatch(const service_call& call, call_done done);
 
+    /// Withdraws, some time before the cutoff, the routed calls that still wait in the queues of
+    /// other nodes and reports them as not run: this node ends before they could be completed.
+    void begin_drain(time_point cutoff);
+
     /// Runs one attempt on the given member and records its result in the statistics of the member.
     /// Never retries. The attempt carries the retry budget of `call`, that of the call tree,
     /// unchanged.
--- a/include/chestnutstand/node/executor.h
+++ b/include/chestnutstand/node/executor.h
@@ -72,7 +72,8 @@
     /// Observes the response of an upstream process that is about to become the upstream.
     void observe_verification(const local_upstream& verified, const http_response& response);
 
-    /// Refuses routed calls whose deadline is later, because the node ends before.
+    /// Refuses routed calls whose deadline is later, and queued calls that are not expected to be
+    /// completed by then, because the node ends.
     void refuse_calls_beyond(time_point end);
 
     /// Refuses new calls from now on; queued calls still run.
@@ -165,7 +166,11 @@
     bool try_mark_started(call_execution& execution);
     void start(const call_execution_ptr& execution, time_point now, deferred_actions& deferred);
     void discard_attempt(const call_execution& execution);
+    /// Refuses the queued calls for which the predicate holds.
+    template <typename Predicate>
+    void refuse_queued_if(Predicate is_refused, reason_code reason, deferred_actions& deferred);
     void refuse_queued(reason_code reason, deferred_actions& deferred);
+    void refuse_unfinishable(time_point now, deferred_actions& deferred);
     void run_deferred(deferred_actions deferred);
     void send(const call_execution_ptr& execution);
     void cancel(const call_execution_ptr& execution);
--- a/include/chestnutstand/node/ingress.h
+++ b/include/chestnutstand/node/ingress.h
@@ -10,7 +10,9 @@
 #include <atomic>
 #include <cstdint>
 #include <memory>
+#include <mutex>
 #include <string>
+#include <unordered_set>
 
 namespace chestnutstand {
 
@@ -23,6 +25,12 @@
     std::string origin_service;
 };
 
+/// Request of a caller that has not been answered.
+struct open_request {
+    std::shared_ptr<responder> response;
+    std::string request_id;
+};
+
 /// Accepts calls over HTTP from callers and from the upstream of this node.
 class ingress {
 public:
@@ -48,16 +56,23 @@
     /// Refuses all further requests.
     void refuse_new_calls() { refusing_ = true; }
 
-    bool idle() const { return in_flight_ == 0; }
+    /// Answers all requests that are still in flight: their outcome is unknown.
+    void finish_drain();
+
+    bool idle() const;
 
 private:
-    void handle_routed(const http_request& request, const std::shared_ptr<responder>& response);
-    void handle_call(const http_request& request, const std::shared_ptr<responder>& response);
-    void handle_issue(const http_request& request, const std::shared_ptr<responder>& response);
-    void handle_query(const http_request& request, const std::shared_ptr<responder>& response);
-    void refuse(const http_request& request, responder& response, reason_code reason,
+    using request_ptr = std::shared_ptr<open_request>;
+
+    request_ptr open(const http_request& request, const std::shared_ptr<responder>& response);
+    void handle_routed(const http_request& request, const request_ptr& opened);
+    void handle_call(const http_request& request, const request_ptr& opened);
+    void handle_issue(const http_request& request, const request_ptr& opened);
+    void handle_query(const http_request& request, const request_ptr& opened);
+    void refuse(const http_request& request, const request_ptr& opened, reason_code reason,
                 std::string_view detail);
-    void send(responder& to, http_response response) const;
+    /// Sends the response unless the request has been answered before.
+    void answer(const request_ptr& opened, http_response response);
 
     std::string next_request_id();
 
@@ -71,7 +86,9 @@
     std::atomic<std::uint64_t> next_position_ = 0;
     /// Index into the low-discrepancy sequence that spreads the Retry-After times.
     std::atomic<std::uint64_t> next_retry_after_ = 0;
-    std::atomic<std::uint32_t> in_flight_ = 0;
+    mutable std::mutex requests_mutex_;
+    /// Requests that have not been answered.
+    std::unordered_set<request_ptr> requests_;
     std::atomic<time_point> drain_end_ = time_point::max();
     std::atomic<bool> draining_ = false;
     std::atomic<bool> refusing_ = false;
--- a/include/chestnutstand/node/kernel.h
+++ b/include/chestnutstand/node/kernel.h
@@ -50,7 +50,11 @@
     /// Ends the lame-duck period: all new work must be refused from now on.
     virtual void end_lame_duck(kernel& node);
 
-    /// Whether all accepted work has been completed.
+    /// Answers the callers whose calls still run, as the process ends shortly. Their responses must
+    /// be on their way before idle() is true again.
+    virtual void finish_drain(kernel& node);
+
+    /// Whether all accepted work has been completed and its responses have been written.
     virtual bool idle() const { return true; }
 
     /// Called in reverse order of start.
@@ -92,8 +96,9 @@
     /// Random id of this process, never 0.
     std::uint64_t instance() const { return instance_; }
     bool draining() const { return draining_; }
-    /// Time at which a drain ends the calls that still run. Set before the components drain.
-    time_point drain_end() const { return drain_end_; }
+    /// Time at which a drain answers the callers whose calls still run, a little before it ends the
+    /// process. Set before the components drain.
+    time_point drain_cutoff() const { return drain_cutoff_; }
     /// Whether the upstream itself reports to the node that it leaves, with a draining heartbeat or
     /// DELETE /upstreams/{id}. This is taken to be the case where callers use routes. A drain of
     /// the node then does not mean that its upstream stops: the node keeps running calls on it, and
@@ -142,11 +147,13 @@
 
     absl::Status start_with_dependencies(std::string_view name);
     bool all_idle() const;
+    /// Waits until all components are idle or the limit has passed. Returns whether they are.
+    bool wait_until_idle(time_point limit) const;
 
     settings settings_;
     std::uint64_t instance_;
     std::atomic<bool> draining_ = false;
-    time_point drain_end_{};
+    time_point drain_cutoff_{};
     node_ports ports_;
     metrics metrics_;
     std::unique_ptr<http_client> http_;
--- a/lib/node/components/dispatcher_component.cpp
+++ b/lib/node/components/dispatcher_component.cpp
@@ -56,6 +56,8 @@
         return absl::OkStatus();
     }
 
+    void begin_drain(kernel& node) override { dispatcher_->begin_drain(node.drain_cutoff()); }
+
     void reload(kernel& node) override
     {
         dispatcher_->set_retry_limits(limits_from(node.config().retry_limits));
--- a/lib/node/components/executor_component.cpp
+++ b/lib/node/components/executor_component.cpp
@@ -64,7 +64,7 @@
 
     void begin_drain(kernel& node) override
     {
-        executor_->refuse_calls_beyond(node.drain_end());
+        executor_->refuse_calls_beyond(node.drain_cutoff());
         if (!node.upstream_reports_departure()) {
             executor_->begin_drain();
         }
--- a/lib/node/components/ingress_component.cpp
+++ b/lib/node/components/ingress_component.cpp
@@ -50,8 +50,9 @@
         return status;
     }
 
-    void begin_drain(kernel& node) override { ingress_->begin_drain(node.drain_end()); }
+    void begin_drain(kernel& node) override { ingress_->begin_drain(node.drain_cutoff()); }
     void end_lame_duck(kernel& /*node*/) override { ingress_->refuse_new_calls(); }
+    void finish_drain(kernel& /*node*/) override { ingress_->finish_drain(); }
     // The server refuses requests until the process ends. Closing its connections earlier would
     // leave callers without a response for as long as the other components take to stop.
     bool idle() const override { return ingress_->idle() && server_->idle(); }
--- a/lib/node/dispatched_call.h
+++ b/lib/node/dispatched_call.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "chestnutstand/routing/retry_budget.h"
+#include "chestnutstand/routing/service_peers.h"
 #include "chestnutstand/support/clock.h"
 #include "chestnutstand/transport/call.h"
 
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <atomic>
 #include <cstddef>
 #include <cstdint>
 #include <memory>
@@ -18,6 +20,16 @@
 
 namespace chestnutstand {
 
+/// One attempt of a dispatched call.
+struct dispatched_attempt {
+    std::shared_ptr<peer> target;
+    /// Part of the call tree's budget that the attempt carries.
+    std::uint32_t budget = 0;
+    std::shared_ptr<cancellation> cancel = std::make_shared<cancellation>();
+    /// Its response and a query about it may both report its end.
+    std::atomic<bool> ended = false;
+};
+
 /// State of one dispatched call and its attempts.
 struct dispatched_call {
     dispatched_call(const service_call& dispatched, call_done callback, bool may_repeat)
@@ -42,8 +54,10 @@
     bool deferring_members_allowed = false;
     /// Whether further attempts use new connections, because a pooled one did not deliver the call.
     bool fresh_connections = false;
-    /// One for each attempt, so that the attempts that a hedge overtakes can be cancelled.
-    std::vector<std::shared_ptr<cancellation>> cancellations;
+    /// All attempts that have been started.
+    std::vector<std::shared_ptr<dispatched_attempt>> attempts;
+    /// Whether the call gets no further attempt, because the node stops.
+    bool withdrawn = false;
     /// Number of attempts that have been started.
     std::size_t placements = 0;
     /// Number of attempts that an admission queue refused.
--- a/lib/node/dispatcher.cpp
+++ b/lib/node/dispatcher.cpp
@@ -55,41 +55,37 @@
     }
 }
 
-/// Passes the result to the caller. For routed calls, logs the result and the attempts behind it.
-void complete_call(dispatched_call& state, call_result result)
+void log_result(const dispatched_call& state, const call_result& result)
 {
-    if (is_routed(state.call)) {
-        const bool completed = result.outcome == call_outcome::completed;
-        log_event(log_level::info, "call answered",
-                  {{"request_id", state.call.request_id},
-                   {"service", state.call.service},
-                   {"class", state.call.priority},
-                   {"document_version", state.document_version},
-                   {"outcome", std::string{to_string(result.outcome)}},
-                   {"reason", std::string{to_string(result.reason)}},
-                   {"status", std::int64_t{completed ? result.response.status : 0}},
-                   {"attempts", state.history},
-                   {"placements", std::uint64_t{state.placements}},
-                   {"elapsed_ms", (ms_clock::now() - state.started).count()},
-                   {"left_ms", (state.call.deadline - ms_clock::now()).count()}});
-    }
-    state.done(std::move(result));
+    const bool completed = result.outcome == call_outcome::completed;
+    log_event(log_level::info, "call answered",
+              {{"request_id", state.call.request_id},
+               {"service", state.call.service},
+               {"class", state.call.priority},
+               {"document_version", state.document_version},
+               {"outcome", std::string{to_string(result.outcome)}},
+               {"reason", std::string{to_string(result.reason)}},
+               {"status", std::int64_t{completed ? result.response.status : 0}},
+               {"attempts", state.history},
+               {"placements", std::uint64_t{state.placements}},
+               {"elapsed_ms", (ms_clock::now() - state.started).count()},
+               {"left_ms", (state.call.deadline - ms_clock::now()).count()}});
 }
 
 /// Cancels the attempts that are still in flight after another attempt has ended the call, so that
 /// their upstreams can abandon them.
 void cancel_other_attempts(dispatched_call& state)
 {
-    std::vector<std::shared_ptr<cancellation>> cancellations;
+    std::vector<std::shared_ptr<dispatched_attempt>> attempts;
     {
         const std::lock_guard lock{state.mutex};
         if (state.attempts_in_flight == 0) {
             return;
         }
-        cancellations.swap(state.cancellations);
+        attempts.swap(state.attempts);
     }
-    for (const std::shared_ptr<cancellation>& attempt : cancellations) {
-        attempt->cancel();
+    for (const auto& attempt : attempts) {
+        attempt->cancel->cancel();
     }
 }
 
@@ -136,17 +132,39 @@
     }
     const auto state = std::make_shared<dispatched_call>(call, std::move(done), idempotent);
     state->document_version = configuration->version;
+    std::optional<time_point> drain_cutoff;
+    {
+        const std::lock_guard lock{calls_mutex_};
+        calls_.emplace(state.get(), state);
+        drain_cutoff = drain_cutoff_;
+    }
     if (routed) {
         schedule_time_limit(state);
     }
     if (!start_attempt(state)) {
-        refuse(reason_code::no_route, state->done);
+        counters_.count(reason_event::refused, reason_code::no_route);
+        complete(state, not_run(reason_code::no_route));
         return;
     }
+    if (drain_cutoff) {
+        schedule_withdrawal(state, *drain_cutoff);
+    }
     schedule_hedge(state);
     probe_stale_member(call.service);
 }
 
+void dispatcher::core::complete(const call_state& state, call_result result)
+{
+    {
+        const std::lock_guard lock{calls_mutex_};
+        calls_.erase(state.get());
+    }
+    if (is_routed(state->call)) {
+        log_result(*state, result);
+    }
+    state->done(std::move(result));
+}
+
 /// Completes the call at its deadline whatever the state of its attempts. The attempts are not
 /// cancelled: each carries the same deadline, and its own result says more about the member than a
 /// closed connection does.
@@ -155,20 +173,21 @@
     if (!options_.run_after) {
         return;
     }
-    options_.run_after(state->call.deadline - options_.now(),
-                       [weak_state = std::weak_ptr<dispatched_call>{state}] {
-                           const call_state expired = weak_state.lock();
-                           if (!expired) {
-                               return;
-                           }
-                           {
-                               const std::lock_guard lock{expired->mutex};
-                               if (std::exchange(expired->finished, true)) {
-                                   return;
-                               }
-                           }
-                           complete_call(*expired, unknown_outcome(reason_code::time_limit));
-                       });
+    options_.run_after(
+        state->call.deadline - options_.now(),
+        [self = shared_from_this(), weak_state = std::weak_ptr<dispatched_call>{state}] {
+            const call_state expired = weak_state.lock();
+            if (!expired) {
+                return;
+            }
+            {
+                const std::lock_guard lock{expired->mutex};
+                if (std::exchange(expired->finished, true)) {
+                    return;
+                }
+            }
+            self->complete(expired, unknown_outcome(reason_code::time_limit));
+        });
 }
 
 /// Sends the call to a member that has not been tried yet. Returns false if there is none, or if
@@ -182,7 +201,7 @@
     bool fresh_connection = false;
     {
         const std::lock_guard lock{state->mutex};
-        if (state->finished || state->placements >= attempt_limit) {
+        if (state->finished || state->withdrawn || state->placements >= attempt_limit) {
             return false;
         }
         const std::optional<std::uint32_t> carried = state->budget.start();
@@ -209,7 +228,7 @@
             state->fresh_connections && attempt->target->node.instance != options_.self_instance;
         movable =
             is_routed(call) && !state->deferring_members_allowed && state->placements < move_limit;
-        state->cancellations.push_back(attempt->cancel);
+        state->attempts.push_back(attempt);
         ++state->attempts_in_flight;
     }
     if (state->call.cancel) {
@@ -263,7 +282,7 @@
         }
     }
     if (ends_call) {
-        complete_call(*state, std::move(result));
+        complete(state, std::move(result));
         cancel_other_attempts(*state);
         return;
     }
@@ -277,7 +296,7 @@
         }
         state->finished = true;
     }
-    complete_call(*state, std::move(*state->failure));
+    complete(state, std::move(*state->failure));
 }
 
 bool dispatcher::core::retry(const call_state& state, const call_result& result)
@@ -407,6 +426,11 @@
     core_->dispatch(call, std::move(done));
 }
 
+void dispatcher::begin_drain(time_point cutoff)
+{
+    core_->begin_drain(cutoff);
+}
+
 void dispatcher::execute_on(const node_reference& target, const service_call& call, call_done done)
 {
     core_->execute_on(target, call, std::move(done));
--- a/lib/node/dispatcher_core.h
+++ b/lib/node/dispatcher_core.h
@@ -9,7 +9,9 @@
 #include <cstdint>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
+#include <unordered_map>
 
 namespace chestnutstand {
 
@@ -35,16 +37,6 @@
     token_bucket tokens_;
 };
 
-/// One attempt of a dispatched call.
-struct dispatched_attempt {
-    std::shared_ptr<peer> target;
-    /// Part of the call tree's budget that the attempt carries.
-    std::uint32_t budget = 0;
-    std::shared_ptr<cancellation> cancel = std::make_shared<cancellation>();
-    /// Its response and a query about it may both report its end.
-    std::atomic<bool> ended = false;
-};
-
 class dispatcher::core : public std::enable_shared_from_this<core> {
 public:
     core(peer_client& peers, local_executor* local, const snapshot<routing_table>& routes,
@@ -52,6 +44,7 @@
          const dispatcher_options& options);
 
     void dispatch(const service_call& call, call_done done);
+    void begin_drain(time_point cutoff);
     void execute_on(const node_reference& target, const service_call& call, call_done done)
     {
         send(selector_.find(call.service, target), call, call.retry_budget, call.cancel,
@@ -64,6 +57,9 @@
     using attempt_state = std::shared_ptr<dispatched_attempt>;
 
     void refuse(reason_code reason, const call_done& done);
+    /// Passes the result to the caller. For routed calls, logs the result and the attempts behind
+    /// it.
+    void complete(const call_state& state, call_result result);
     bool start_attempt(const call_state& state);
     void finish_attempt(const call_state& state, const attempt_state& attempt, call_result result);
     bool may_be_settled(const dispatched_call& state, const dispatched_attempt& attempt) const;
@@ -74,6 +70,9 @@
     void query_overdue(const call_state& state, const attempt_state& attempt, milliseconds delay);
     void finish_overdue_query(const call_state& state, const attempt_state& attempt,
                               const settle_result& settled, milliseconds delay);
+    void schedule_withdrawal(const call_state& state, time_point cutoff);
+    void withdraw(const call_state& state);
+    void withdraw_attempt(const call_state& state, const attempt_state& attempt);
     bool retry(const call_state& state, const call_result& result);
     void schedule_time_limit(const call_state& state);
     void schedule_hedge(const call_state& state);
@@ -93,6 +92,11 @@
     upstream_selector selector_;
     overdue_query_limit overdue_queries_;
     std::atomic<std::uint64_t> next_request_{1};
+    std::mutex calls_mutex_;
+    /// Calls that have not been completed.
+    std::unordered_map<const dispatched_call*, std::weak_ptr<dispatched_call>> calls_;
+    /// Set while the node drains.
+    std::optional<time_point> drain_cutoff_;
 };
 
 } // namespace chestnutstand
--- a/lib/node/dispatcher_settlement.cpp
+++ b/lib/node/dispatcher_settlement.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <optional>
 #include <utility>
+#include <vector>
 
 namespace chestnutstand {
 namespace {
@@ -35,6 +36,11 @@
     return std::nullopt;
 }
 
+/// Share of a drain's time before its end at which a call is withdrawn whose usual time is unknown,
+/// and the largest one for all others.
+constexpr double withdrawal_share_of_drain = 0.25;
+constexpr double max_withdrawal_share_of_drain = 0.5;
+
 } // namespace
 
 /// Whether the executor of an attempt of a routed call can be asked for its outcome: it is another
@@ -129,4 +135,84 @@
     attempt->cancel->cancel();
 }
 
+void dispatcher::core::begin_drain(time_point cutoff)
+{
+    std::vector<call_state> pending;
+    {
+        const std::lock_guard lock{calls_mutex_};
+        drain_cutoff_ = cutoff;
+        for (const auto& [address, weak_state] : calls_) {
+            if (auto state = weak_state.lock()) {
+                pending.push_back(std::move(state));
+            }
+        }
+    }
+    for (const call_state& state : pending) {
+        schedule_withdrawal(state, cutoff);
+    }
+}
+
+/// A call that waits at another node is withdrawn once it could not be completed any more if it
+/// started, and once more in case the first query is lost.
+void dispatcher::core::schedule_withdrawal(const call_state& state, time_point cutoff)
+{
+    if (!options_.run_after || !is_routed(state->call)) {
+        return;
+    }
+    const milliseconds left = std::max(cutoff - options_.now(), milliseconds{0});
+    const auto usual_time = selector_.hedge_delay(state->call.service, state->call.priority);
+    const milliseconds lead = usual_time
+                                  ? std::min(*usual_time, left * max_withdrawal_share_of_drain)
+                                  : left * withdrawal_share_of_drain;
+    for (const milliseconds before_cutoff :
+         {std::max(lead, settle_timeout * 2.0), settle_timeout}) {
+        options_.run_after(
+            std::max(left - before_cutoff, milliseconds{0}),
+            [self = shared_from_this(), weak_state = std::weak_ptr<dispatched_call>{state}] {
+                if (const call_state pending = weak_state.lock()) {
+                    self->withdraw(pending);
+                }
+            });
+    }
+}
+
+void dispatcher::core::withdraw(const call_state& state)
+{
+    std::vector<attempt_state> attempts;
+    {
+        const std::lock_guard lock{state->mutex};
+        if (state->finished) {
+            return;
+        }
+        state->withdrawn = true;
+        attempts = state->attempts;
+    }
+    for (const attempt_state& attempt : attempts) {
+        if (may_be_settled(*state, *attempt)) {
+            withdraw_attempt(state, attempt);
+        }
+    }
+}
+
+/// Fences the attempt at its executor. An attempt that has started goes on.
+void dispatcher::core::withdraw_attempt(const call_state& state, const attempt_state& attempt)
+{
+    peers_.settle(
+        attempt->target->node, attempt_key({state->call.request_id, queued_attempt::fence}),
+        settle_timeout,
+        [self = shared_from_this(), state, attempt](const absl::StatusOr<settle_result>& settled) {
+            auto result = settled.ok() ? result_of(*settled) : std::nullopt;
+            if (!result) {
+                return;
+            }
+            if (result->reason == reason_code::key_fenced) {
+                result->reason = reason_code::draining;
+            }
+            self->finish_attempt(state, attempt, *std::move(result));
+            // Removes the fenced call from the queue, or closes the connection that lost the
+            // response.
+            attempt->cancel->cancel();
+        });
+}
+
 } // namespace chestnutstand
--- a/lib/node/executor.cpp
+++ b/lib/node/executor.cpp
@@ -21,6 +21,9 @@
 /// A token bucket starts empty. That of the slowdown probes is constructed with a start time this
 /// far in the past, in which it fills up, because the slowdown of the upstream is unknown at first.
 constexpr milliseconds slowdown_probe_prefill_time{1'000};
+/// A call that would have less time than this until the node ends is not started: the next poll may
+/// come as late, and the response has to reach the caller.
+constexpr milliseconds min_time_to_run{50};
 constexpr int status_too_many_requests = 429;
 constexpr int status_server_error = 500;
 constexpr int status_service_unavailable = 503;
@@ -292,6 +295,7 @@
     if (now >= lease_end_) {
         refuse_queued(reason_code::no_upstream, deferred);
     }
+    refuse_unfinishable(now, deferred);
     while (const auto decision = queue_->next(now)) {
         const auto found = executions_.find(decision->id);
         const auto execution = found->second;
@@ -364,11 +368,13 @@
     return settled;
 }
 
-void executor::refuse_queued(reason_code reason, deferred_actions& deferred)
+template <typename Predicate>
+void executor::refuse_queued_if(Predicate is_refused, reason_code reason,
+                                deferred_actions& deferred)
 {
     for (auto it = executions_.begin(); it != executions_.end();) {
         const auto& execution = *it->second;
-        if (execution.started || !queue_->remove(execution.id)) {
+        if (execution.started || !is_refused(execution) || !queue_->remove(execution.id)) {
             ++it;
             continue;
         }
@@ -379,6 +385,24 @@
     }
 }
 
+void executor::refuse_queued(reason_code reason, deferred_actions& deferred)
+{
+    refuse_queued_if([](const call_execution& /*queued*/) { return true; }, reason, deferred);
+}
+
+/// Refuses the queued calls whose responses would come after the node has ended, as another node
+/// may still run them.
+void executor::refuse_unfinishable(time_point now, deferred_actions& deferred)
+{
+    if (latest_deadline_ == time_point::max()) {
+        return;
+    }
+    const auto ends_too_late = [&](const call_execution& queued) {
+        return now + std::max(usual_time_of(queued.call, now), min_time_to_run) > latest_deadline_;
+    };
+    refuse_queued_if(ends_too_late, reason_code::draining, deferred);
+}
+
 void executor::run_deferred(deferred_actions deferred)
 {
     for (const auto& execution : deferred.to_send) {
--- a/lib/node/ingress.cpp
+++ b/lib/node/ingress.cpp
@@ -86,111 +86,118 @@
 
 void ingress::handle(const http_request& request, const std::shared_ptr<responder>& response)
 {
-    ++in_flight_;
+    const request_ptr opened = open(request, response);
     if (refusing_) {
-        refuse(request, *response, reason_code::draining, "this node is stopping");
+        refuse(request, opened, reason_code::draining, "this node is stopping");
         return;
     }
     if (options_.interface_for_callers == caller_interface::routes) {
-        handle_routed(request, response);
+        handle_routed(request, opened);
         return;
     }
     if (request.method == "POST" && request.target.rfind(keys_prefix, 0) == 0) {
-        handle_issue(request, response);
+        handle_issue(request, opened);
         return;
     }
     if (request.method == "GET" && request.target == outcome_target) {
-        handle_query(request, response);
+        handle_query(request, opened);
         return;
     }
-    handle_call(request, response);
+    handle_call(request, opened);
 }
 
-void ingress::handle_issue(const http_request& request, const std::shared_ptr<responder>& response)
+ingress::request_ptr ingress::open(const http_request& request,
+                                   const std::shared_ptr<responder>& response)
+{
+    const bool is_routed = options_.interface_for_callers == caller_interface::routes;
+    const auto named =
+        is_routed ? find_header(request.headers, options_.headers.request_id) : std::nullopt;
+    const bool has_name = named && !named->empty();
+    auto opened = std::make_shared<open_request>(
+        open_request{response, has_name ? std::string{*named} : next_request_id()});
+    const std::lock_guard lock{requests_mutex_};
+    requests_.insert(opened);
+    return opened;
+}
+
+void ingress::handle_issue(const http_request& request, const request_ptr& opened)
 {
     const auto parsed = parse_key_request(request.target, in_force_.load().get());
     if (const auto* refused = std::get_if<refusal>(&parsed)) {
-        refuse(request, *response, refused->reason, refused->detail);
+        refuse(request, opened, refused->reason, refused->detail);
         return;
     }
     const auto& [service, count] = std::get<key_request>(parsed);
     const auto keys = keys_->issue(service, count);
     if (!keys.ok()) {
-        refuse(request, *response, reason_code::no_upstream, std::string{keys.status().message()});
+        refuse(request, opened, reason_code::no_upstream, std::string{keys.status().message()});
         return;
     }
-    send(*response,
-         {200, {{"Content-Type", "application/json"}}, nlohmann::json{{"keys", *keys}}.dump()});
-    --in_flight_;
+    answer(opened,
+           {200, {{"Content-Type", "application/json"}}, nlohmann::json{{"keys", *keys}}.dump()});
 }
 
-void ingress::handle_query(const http_request& request, const std::shared_ptr<responder>& response)
+void ingress::handle_query(const http_request& request, const request_ptr& opened)
 {
     const auto key = find_header(request.headers, header::idempotency_key);
     if (!key) {
-        refuse(request, *response, reason_code::key_required,
-               "GET /outcome needs an Idempotency-Key");
+        refuse(request, opened, reason_code::key_required, "GET /outcome needs an Idempotency-Key");
         return;
     }
     service_call call;
     call.idempotency_key = std::string{*key};
     call.deadline = ms_clock::now() + query_timeout;
-    keys_->query(call, [this, response](call_result result) {
-        send(*response, make_response(std::move(result)));
-        --in_flight_;
+    keys_->query(call, [this, opened](call_result result) {
+        answer(opened, make_response(std::move(result)));
     });
 }
 
-void ingress::handle_routed(const http_request& request, const std::shared_ptr<responder>& response)
+void ingress::handle_routed(const http_request& request, const request_ptr& opened)
 {
     const time_point start = ms_clock::now();
     const auto in_force = in_force_.load();
     auto parsed = parse_routed_call(request, in_force.get(), options_.headers,
                                     low_discrepancy_position(next_position_++), start);
     if (const auto* refused = std::get_if<refusal>(&parsed)) {
-        refuse(request, *response, refused->reason, refused->detail);
+        refuse(request, opened, refused->reason, refused->detail);
         return;
     }
     auto& call = std::get<service_call>(parsed);
     if (call.deadline > drain_end_.load()) {
-        refuse(request, *response, reason_code::draining,
+        refuse(request, opened, reason_code::draining,
                "this node stops before the time limit of the request");
         return;
     }
-    if (call.request_id.empty()) {
-        call.request_id = next_request_id();
-    }
+    call.request_id = opened->request_id;
     if (!options_.headers.origin_service.empty()) {
         set_header(call.request.headers, options_.headers.origin_service, options_.origin_service);
     }
-    call.cancel = response->disconnected();
+    call.cancel = opened->response->disconnected();
     latency_histogram& latency = stats_.call_latency(call.service, call.priority);
     const auto retry_after = retry_delay(latency_target_of(*in_force, call),
                                          low_discrepancy_position(next_retry_after_++));
-    dispatcher_.dispatch(call, [this, response, start, &latency, retry_after](call_result result) {
+    dispatcher_.dispatch(call, [this, opened, start, &latency, retry_after](call_result result) {
         latency.record(ms_clock::now() - start);
-        send(*response, make_routed_response(std::move(result), retry_after));
-        --in_flight_;
+        answer(opened, make_routed_response(std::move(result), retry_after));
     });
 }
 
-void ingress::handle_call(const http_request& request, const std::shared_ptr<responder>& response)
+void ingress::handle_call(const http_request& request, const request_ptr& opened)
 {
     const time_point start = ms_clock::now();
     const auto in_force = in_force_.load();
     auto parsed = parse_call(request, in_force.get(), start);
     if (const auto* refused = std::get_if<refusal>(&parsed)) {
-        refuse(request, *response, refused->reason, refused->detail);
+        refuse(request, opened, refused->reason, refused->detail);
         return;
     }
     auto& call = std::get<service_call>(parsed);
-    call.request_id = next_request_id();
-    call.cancel = response->disconnected();
+    call.request_id = opened->request_id;
+    call.cancel = opened->response->disconnected();
     latency_histogram& latency = stats_.call_latency(call.service, call.priority);
-    const auto done = [this, response, start, &latency](call_result result) {
+    const auto done = [this, opened, start, &latency](call_result result) {
         latency.record(ms_clock::now() - start);
-        send(*response, make_response(std::move(result)));
-        --in_flight_;
+        answer(opened, make_response(std::move(result)));
     };
     if (call.idempotency_key.empty()) {
         dispatcher_.dispatch(call, done);
@@ -201,7 +208,7 @@
 
 // A call with an idempotency key may be running on another node at this moment. This node has not
 // settled the key, so it reports the outcome as unknown rather than not_run.
-void ingress::refuse(const http_request& request, responder& response, reason_code reason,
+void ingress::refuse(const http_request& request, const request_ptr& opened, reason_code reason,
                      std::string_view detail)
 {
     stats_.count(reason_event::refused, reason);
@@ -214,9 +221,8 @@
          {"target", request.target.substr(0, max_logged_target)}});
     const bool keyed = options_.interface_for_callers == caller_interface::calls &&
                        find_header(request.headers, header::idempotency_key).has_value();
-    send(response,
-         make_problem(keyed ? call_outcome::unknown : call_outcome::not_run, reason, detail));
-    --in_flight_;
+    answer(opened,
+           make_problem(keyed ? call_outcome::unknown : call_outcome::not_run, reason, detail));
 }
 
 http_response ingress::refuse_unreadable(const request_refusal& error)
@@ -232,12 +238,40 @@
                         error.detail, error.status);
 }
 
-void ingress::send(responder& to, http_response response) const
+void ingress::answer(const request_ptr& opened, http_response response)
 {
+    {
+        const std::lock_guard lock{requests_mutex_};
+        if (requests_.erase(opened) == 0) {
+            return;
+        }
+    }
     if (draining_) {
         response.headers.push_back({"Connection", "close"});
     }
-    to.send(std::move(response));
+    opened->response->send(std::move(response));
+}
+
+void ingress::finish_drain()
+{
+    std::unordered_set<request_ptr> unanswered;
+    {
+        const std::lock_guard lock{requests_mutex_};
+        unanswered = requests_;
+    }
+    for (const request_ptr& opened : unanswered) {
+        stats_.count(reason_event::unknown_outcome, reason_code::node_stopping);
+        log_event(log_level::warning, "request ended by the stop of this node",
+                  {{"request_id", opened->request_id}});
+        answer(opened, make_problem(call_outcome::unknown, reason_code::node_stopping,
+                                    "this node stopped before the call was completed"));
+    }
+}
+
+bool ingress::idle() const
+{
+    const std::lock_guard lock{requests_mutex_};
+    return requests_.empty();
 }
 
 std::string ingress::next_request_id()
--- a/lib/node/kernel.cpp
+++ b/lib/node/kernel.cpp
@@ -3,6 +3,7 @@
 #include "chestnutstand/support/log.h"
 #include "chestnutstand/transport/node_server.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <random>
 #include <utility>
@@ -11,6 +12,10 @@
 namespace {
 
 constexpr milliseconds idle_poll_interval{10};
+/// Time from the last responses of a drain to the end of the process, in which they reach callers
+/// within a region; at most the share of the drain limit.
+constexpr milliseconds reply_window{150};
+constexpr double max_reply_window_share = 0.05;
 /// Both nodes on the path of a response hold all of it in memory.
 constexpr std::size_t max_response_bytes = std::size_t{64} << 20U;
 
@@ -33,6 +38,7 @@
 void component::reload(kernel& /*node*/) {}
 void component::begin_drain(kernel& /*node*/) {}
 void component::end_lame_duck(kernel& /*node*/) {}
+void component::finish_drain(kernel& /*node*/) {}
 void component::stop(kernel& /*node*/) {}
 
 kernel::kernel(settings initial_settings)
@@ -107,6 +113,17 @@
     return true;
 }
 
+bool kernel::wait_until_idle(time_point limit) const
+{
+    while (!all_idle()) {
+        if (ms_clock::now() >= limit) {
+            return false;
+        }
+        sleep_for(idle_poll_interval);
+    }
+    return true;
+}
+
 void kernel::reload(const settings& changed)
 {
     settings_.lowest_log_level = changed.lowest_log_level;
@@ -122,7 +139,9 @@
 
 bool kernel::drain_and_stop()
 {
-    drain_end_ = ms_clock::now() + milliseconds{settings_.drain_limit_ms};
+    const milliseconds limit{settings_.drain_limit_ms};
+    const time_point drain_end = ms_clock::now() + limit;
+    drain_cutoff_ = drain_end - std::min(reply_window, limit * max_reply_window_share);
     draining_ = true;
     for (component* started : started_) {
         started->begin_drain(*this);
@@ -132,10 +151,12 @@
     for (component* started : started_) {
         started->end_lame_duck(*this);
     }
-    while (!all_idle() && ms_clock::now() < drain_end_) {
-        sleep_for(idle_poll_interval);
+    wait_until_idle(drain_cutoff_);
+    for (component* started : started_) {
+        started->finish_drain(*this);
     }
-    const bool idle = all_idle();
+    // A node that was paused may find that the end has passed.
+    const bool idle = wait_until_idle(std::max(drain_end, ms_clock::now() + reply_window));
     for (auto it = started_.rbegin(); it != started_.rend(); ++it) {
         (*it)->stop(*this);
     }
--- a/tests/integration/routed_path_test.cpp
+++ b/tests/integration/routed_path_test.cpp
@@ -28,7 +28,8 @@
                                    {"lame_duck_ms", 3'000}};
     }
 
-    void write_document(int version, const std::string& prefix)
+    void write_document(int version, const std::string& prefix,
+                        const std::string& kind = "idempotent", int timeout_ms = 5'000)
     {
         const nlohmann::json document{{"version", version},
                                       {"services", {{{"name", "alpha"}}}},
@@ -37,8 +38,9 @@
                                          {"host", "shop.example"},
                                          {"path_prefix", prefix},
                                          {"service", "alpha"},
-                                         {"kind", "idempotent"},
-                                         {"timeout_ms", 5'000},
+                                         {"kind", kind},
+                                         {"timeout_ms", timeout_ms},
+                                         {"latency_target_ms", timeout_ms / 2.0},
                                          {"attempts", 2}}}}};
         const auto result = exchange(fleet_.client(), store_port_,
                                      {"PUT", "/control/document", {}, document.dump()});
@@ -129,6 +131,51 @@
     EXPECT_EQ(node.node->wait(), 0);
 }
 
+// Guards against calls that end with a closed connection when their node stops: those that wait at
+// another node, and those that still run.
+TEST_F(routed_path, answers_all_calls_before_it_stops)
+{
+    constexpr int call_count = 6;
+    constexpr milliseconds call_limit{20'000};
+    fleet_.extra_settings()["lame_duck_ms"] = 200;
+    fleet_.extra_settings()["drain_limit_ms"] = 3'000;
+    write_document(1, "/pay/", "non_idempotent", 20'000);
+    const auto& worker = fleet_.add("east", "alpha", {"--slots", "1", "--service-ms", "20"});
+    const auto& entry = fleet_.add("east", "");
+    ASSERT_TRUE(eventually([&] { return get_status(entry, "/pay/1") == 200; }));
+    const std::uint64_t before = fleet_.counters(worker)["executions"];
+    ASSERT_TRUE(fleet_.control(worker.upstream_port, "/behaviour", {{"service_ms", 2'000}}));
+    std::vector<std::thread> callers;
+    callers.reserve(call_count);
+    std::vector<http_result> results(call_count);
+    for (int i = 0; i < call_count; ++i) {
+        callers.emplace_back([&, i] {
+            results[i] = exchange(fleet_.client(), entry.caller_port,
+                                  {"POST", "/pay/1", {{"Host", "shop.example"}}, ""}, call_limit);
+        });
+    }
+    ASSERT_TRUE(eventually([&] {
+        const auto load = fleet_.status(worker)["load"];
+        int queued = 0;
+        for (const auto& [name, length] : load["queues"].items()) {
+            queued += length.get<int>();
+        }
+        return load["in_flight"] == 1 && queued >= call_count / 2;
+    }));
+    entry.node->signal(SIGTERM);
+    for (std::thread& caller : callers) {
+        caller.join();
+    }
+    std::uint64_t not_run = 0;
+    for (const http_result& result : results) {
+        EXPECT_EQ(result.error, http_error::none);
+        not_run += result.response.status == 503 ? 1 : 0;
+    }
+    EXPECT_GE(not_run, 2U);
+    const std::uint64_t ran = fleet_.counters(worker)["executions"];
+    EXPECT_LE(ran - before, call_count - not_run);
+}
+
 // Guards against nodes that wait for lost responses of the store and miss a change of the document.
 TEST_F(routed_path, follows_changes_after_the_store_lost_all_waiting_reads)
 {
--- a/unittests/node/executor_test.cpp
+++ b/unittests/node/executor_test.cpp
@@ -335,6 +335,27 @@
     EXPECT_EQ(upstream_.last_id, 3U);
 }
 
+// Guards against a call that starts although its response would come after the node has ended, and
+// against one that waits until then although another node may run it.
+TEST_F(executor_test, refuses_queued_calls_that_would_end_after_the_node)
+{
+    const int first = execute();
+    execute();
+    const int queued = execute();
+    executor_.refuse_calls_beyond(ms_clock::now() + milliseconds{30'000});
+    executor_.poll(ms_clock::now());
+    EXPECT_FALSE(results_.contains(queued));
+    executor_.refuse_calls_beyond(ms_clock::now() + milliseconds{30});
+    executor_.poll(ms_clock::now());
+    ASSERT_TRUE(results_.contains(queued));
+    EXPECT_EQ(results_[queued].outcome, call_outcome::not_run);
+    EXPECT_EQ(reason_of(queued), reason_code::draining);
+    EXPECT_FALSE(results_.contains(first));
+    upstream_.respond(1, 200);
+    EXPECT_EQ(results_[first].outcome, call_outcome::completed);
+    EXPECT_EQ(upstream_.requests.size(), 2U);
+}
+
 // Guards against a repeatable call that runs although it was reported as not run, because it
 // arrived after the query about it.
 TEST_F(executor_test, does_not_run_a_routed_call_that_was_fenced_before_it_arrived)
