Bound the memory of the responses that a node receives at the same time

Here 12 such calls at once took the node beside the upstream to 867 MiB (bodies) and 916 MiB (a length of 60 MB), measured from outside; the smallest machine has 160 MB.

Cause: each response was limited to 64 MiB, all together were not.

Change: response_budget limits what all responses in progress of a client hold together. Beyond the limit, the response that holds most is abandoned and its connection closed; the others go on. A header counts as its line and its entry. Reports of load and health are limited to 1 MiB.

--- a/include/chestnutstand/admission/load_prober.h
+++ b/include/chestnutstand/admission/load_prober.h
@@ -20,6 +20,9 @@
     time_point received;
 };
 
+/// Request for a report of load or health, whose response must be small.
+http_request make_probe_request(std::string target);
+
 /// Probes the upstream with GET /load within the probe budget. A node uses one object for its whole
 /// lifetime, so that an upstream that registers again does not get a new budget. Thread-safe.
 class load_prober {
--- a/include/chestnutstand/config/settings.h
+++ b/include/chestnutstand/config/settings.h
@@ -86,6 +86,8 @@
     double lame_duck_ms = 2'000;
     /// Time from SIGTERM to SIGKILL; when set, drain_limit_ms and lame_duck_ms are derived from it.
     double grace_s = 0;
+    /// Memory in MiB beyond which the platform ends the process; 0 for no limit.
+    double memory_limit_mb = 0;
     double log_retention_ms = 86'400'000;
 };
 
--- a/include/chestnutstand/transport/call.h
+++ b/include/chestnutstand/transport/call.h
@@ -5,6 +5,7 @@
 #include "chestnutstand/transport/cancellation.h"
 
 #include <array>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -35,6 +36,8 @@
     /// Time in which the response has to begin; 0 for no limit besides that of the whole exchange.
     /// A short one detects a lost response without a limit of the time that a long one takes.
     milliseconds response_start_timeout{0};
+    /// Limit of the body of the response, in bytes; 0 for none besides that of the client.
+    std::size_t max_response_bytes = 0;
 };
 
 struct http_response {
--- a/include/chestnutstand/transport/http_client.h
+++ b/include/chestnutstand/transport/http_client.h
@@ -19,7 +19,7 @@
     truncated,       ///< The response was shorter than its framing states.
     malformed,       ///< The bytes received are not a valid response.
     unframed,        ///< The response had neither Content-Length nor chunked framing.
-    too_large,       ///< The response exceeded the size limit.
+    too_large,       ///< The response exceeded a size limit, or all in progress exceeded theirs.
     cancelled,
 };
 
@@ -50,8 +50,14 @@
 
 inline constexpr std::size_t default_response_limit = std::size_t{8} << 20U;
 
+/// Limits of the bodies that a client receives, in bytes.
+struct http_client_limits {
+    std::size_t max_response_bytes = default_response_limit;
+    /// Limit of all responses in progress together. Beyond it, the largest one is ended.
+    std::size_t max_held_bytes = 32 * default_response_limit;
+};
+
 /// Client based on libcurl's multi interface, with one thread and pooled connections.
-std::unique_ptr<http_client>
-make_http_client(std::size_t max_response_bytes = default_response_limit);
+std::unique_ptr<http_client> make_http_client(http_client_limits limits = {});
 
 } // namespace chestnutstand
--- a/lib/admission/load_prober.cpp
+++ b/lib/admission/load_prober.cpp
@@ -12,6 +12,8 @@
 
 constexpr milliseconds probe_timeout{1000};
 constexpr int status_ok = 200;
+/// Far more than a report of load or health takes.
+constexpr std::size_t max_probe_response_bytes = std::size_t{1} << 20U;
 
 std::optional<upstream_load> parse_load(const http_result& result)
 {
@@ -43,6 +45,15 @@
     std::uint64_t sent = 0;
 };
 
+http_request make_probe_request(std::string target)
+{
+    http_request request;
+    request.method = "GET";
+    request.target = std::move(target);
+    request.max_response_bytes = max_probe_response_bytes;
+    return request;
+}
+
 load_prober::load_prober(http_client& client, double probes_per_s, time_point now)
     : client_{client}, state_{std::make_shared<state>(probes_per_s, now)}
 {
@@ -57,10 +68,7 @@
         }
         ++state_->sent;
     }
-    http_request request;
-    request.method = "GET";
-    request.target = "/load";
-    client_.send(base_url, std::move(request), probe_timeout,
+    client_.send(base_url, make_probe_request("/load"), probe_timeout,
                  [shared = state_](const http_result& result) {
                      const auto load = parse_load(result);
                      const std::lock_guard lock{shared->mutex};
--- a/lib/config/settings_file.cpp
+++ b/lib/config/settings_file.cpp
@@ -141,6 +141,7 @@
         schema::number("drain_limit_ms", "ms", {0, 600'000}, &settings::drain_limit_ms),
         schema::number("lame_duck_ms", "ms", {0, 60'000}, &settings::lame_duck_ms),
         schema::number("grace_s", "s", {0, 3'600}, &settings::grace_s),
+        schema::number("memory_limit_mb", "MiB", {0, 1'048'576}, &settings::memory_limit_mb),
         schema::number("log_retention_ms", "ms", {1'000, 31'536'000'000.0},
                        &settings::log_retention_ms),
     };
--- a/lib/node/components/executor_component.cpp
+++ b/lib/node/components/executor_component.cpp
@@ -89,8 +89,8 @@
             confirm();
             return;
         }
-        node.http().send(upstream.base_url, {"GET", service->health_path, {}, ""}, health_timeout,
-                         [this, confirm, upstream](const http_result& result) {
+        node.http().send(upstream.base_url, make_probe_request(service->health_path),
+                         health_timeout, [this, confirm, upstream](const http_result& result) {
                              if (result.error == http_error::none) {
                                  executor_->observe_verification(upstream, result.response);
                              }
--- a/lib/node/executor_slowdown.cpp
+++ b/lib/node/executor_slowdown.cpp
@@ -67,7 +67,7 @@
 
 void executor::probe_slowdown(const std::string& base_url, const std::string& path)
 {
-    client_.send(base_url, {"GET", path, {}, ""}, slowdown_probe_timeout,
+    client_.send(base_url, make_probe_request(path), slowdown_probe_timeout,
                  [this](const http_result& result) {
                      const auto now = ms_clock::now();
                      observe_slowdown(result, now);
--- a/lib/transport/chunked_body.h
+++ b/lib/transport/chunked_body.h
@@ -24,6 +24,7 @@
 
     /// The body as decoded so far.
     std::string& bytes() { return bytes_; }
+    const std::string& bytes() const { return bytes_; }
 
 private:
     enum class state : std::uint8_t { size, data, data_end, trailer };
--- a/lib/transport/curl_client.cpp
+++ b/lib/transport/curl_client.cpp
@@ -1,4 +1,5 @@
 #include "client_sockets.h"
+#include "response_budget.h"
 #include "response_reader.h"
 
 #include "chestnutstand/transport/headers.h"
@@ -40,8 +41,9 @@
     time_point started;
     milliseconds timeout{0};
     CURL* handle = nullptr;
-    /// Sockets of the client that runs the transfer.
+    /// State of the client that runs the transfer.
     client_sockets* sockets = nullptr;
+    response_budget* budget = nullptr;
     curl_slist* headers = nullptr;
     bool request_sent = false;
     /// The connection chosen for the request was closed by the server, or has bytes to read that
@@ -74,6 +76,7 @@
     if (!exchange.reader->add_header_line({data, length})) {
         return 0;
     }
+    exchange.budget->update(*exchange.reader);
     if (exchange.reader->is_head_complete() && !response_matches_request(exchange)) {
         curl_easy_setopt(exchange.handle, CURLOPT_FORBID_REUSE, 1L);
     }
@@ -87,6 +90,7 @@
     if (!exchange.reader->add_body({data, length})) {
         return 0;
     }
+    exchange.budget->update(*exchange.reader);
     if (exchange.reader->has_excess()) {
         curl_easy_setopt(exchange.handle, CURLOPT_FORBID_REUSE, 1L);
     }
@@ -174,8 +178,9 @@
 
 class curl_client final : public http_client {
 public:
-    explicit curl_client(std::size_t max_response_bytes)
-        : max_response_bytes_{max_response_bytes}, multi_{curl_multi_init()}
+    explicit curl_client(http_client_limits limits)
+        : max_response_bytes_{limits.max_response_bytes}, multi_{curl_multi_init()},
+          budget_{limits.max_held_bytes}
     {
         curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, max_pooled_connections);
         thread_ = std::thread{[this] { run(); }};
@@ -204,7 +209,10 @@
         auto exchange = std::make_unique<transfer>();
         exchange->request = std::move(request);
         exchange->done = std::move(done);
-        exchange->reader.emplace(exchange->request.method == "HEAD", max_response_bytes_);
+        const std::size_t own_limit = exchange->request.max_response_bytes;
+        exchange->reader.emplace(exchange->request.method == "HEAD",
+                                 own_limit == 0 ? max_response_bytes_
+                                                : std::min(own_limit, max_response_bytes_));
         exchange->started = ms_clock::now();
         exchange->timeout = timeout;
         exchange->handle = acquire_handle();
@@ -244,6 +252,8 @@
     /// Ends the transfers whose response has not begun in time. Returns the time until the next one
     /// may have to end.
     milliseconds finish_silent();
+    /// Ends the transfers whose responses the budget has abandoned.
+    void finish_abandoned();
     void finish(request_id id, http_error error);
     void cancel_all();
 
@@ -256,8 +266,9 @@
     std::vector<std::unique_ptr<transfer>> added_;
     std::vector<request_id> cancelled_;
     std::vector<CURL*> idle_handles_;
-    /// Accessed only by the client's thread, like the next two.
+    /// Accessed only by the client's thread, like the next three.
     client_sockets sockets_;
+    response_budget budget_;
     std::unordered_map<request_id, std::unique_ptr<transfer>> running_;
     /// Transfers with a limit for the start of their response.
     std::vector<std::pair<request_id, time_point>> response_start_limits_;
@@ -267,6 +278,7 @@
 {
     CURL* handle = exchange.handle;
     exchange.sockets = &sockets_;
+    exchange.budget = &budget_;
     const std::string url = base_url + exchange.request.target;
     curl_easy_setopt(handle, CURLOPT_URL, url.c_str());
     curl_easy_setopt(handle, CURLOPT_PRIVATE, &exchange);
@@ -358,6 +370,7 @@
         int active = 0;
         curl_multi_perform(multi_, &active);
         finish_completed();
+        finish_abandoned();
         if (has_commands()) {
             continue;
         }
@@ -459,6 +472,23 @@
     return silent.empty() ? next : milliseconds{0};
 }
 
+// Another transfer may have exceeded the budget, so that libcurl has not ended these.
+void curl_client::finish_abandoned()
+{
+    if (!budget_.take_abandoned()) {
+        return;
+    }
+    std::vector<request_id> abandoned;
+    for (const auto& [id, exchange] : running_) {
+        if (exchange->reader->error() != http_error::none) {
+            abandoned.push_back(id);
+        }
+    }
+    for (const request_id id : abandoned) {
+        finish(id, http_error::too_large);
+    }
+}
+
 void curl_client::finish(request_id id, http_error error)
 {
     const auto found = running_.find(id);
@@ -470,6 +500,7 @@
     // Removing a handle during a transfer closes its connection, so that a late response cannot be
     // attributed to another request.
     curl_multi_remove_handle(multi_, ended->handle);
+    budget_.remove(*ended->reader);
     release_handle(std::exchange(ended->handle, nullptr));
     ended->done({error, std::move(ended->reader->response()), ms_clock::now() - ended->started});
 }
@@ -483,13 +514,13 @@
 
 } // namespace
 
-std::unique_ptr<http_client> make_http_client(std::size_t max_response_bytes)
+std::unique_ptr<http_client> make_http_client(http_client_limits limits)
 {
     static const CURLcode initialized = curl_global_init(CURL_GLOBAL_ALL);
     if (initialized != CURLE_OK) {
         std::abort();
     }
-    return std::make_unique<curl_client>(max_response_bytes);
+    return std::make_unique<curl_client>(limits);
 }
 
 } // namespace chestnutstand
--- a/lib/transport/response_reader.cpp
+++ b/lib/transport/response_reader.cpp
@@ -29,8 +29,26 @@
     return false;
 }
 
+void response_reader::abandon(http_error error)
+{
+    error_ = error;
+    response_ = {};
+    field_bytes_ = 0;
+    chunks_.reset();
+    undecoded_ = {};
+}
+
+std::size_t response_reader::held_bytes() const
+{
+    const std::size_t chunked = chunks_ ? chunks_->bytes().size() : 0;
+    return field_bytes_ + response_.body.size() + chunked + undecoded_.size();
+}
+
 bool response_reader::add_header_line(std::string_view line)
 {
+    if (error_ != http_error::none) {
+        return false;
+    }
     header_bytes_ += line.size();
     if (header_bytes_ > max_header_bytes) {
         return fail(http_error::too_large);
@@ -53,6 +71,7 @@
         return fail(http_error::malformed);
     }
     response_.headers.push_back(*std::move(field));
+    field_bytes_ += line.size() + sizeof(http_header);
     return true;
 }
 
@@ -100,6 +119,7 @@
         return fail(http_error::malformed);
     }
     response_ = {};
+    field_bytes_ = 0;
     state_ = state::status_line;
     return true;
 }
@@ -112,6 +132,9 @@
 
 bool response_reader::add_body(std::string_view bytes)
 {
+    if (error_ != http_error::none) {
+        return false;
+    }
     if (state_ != state::body || has_no_body()) {
         return fail(http_error::malformed);
     }
--- a/lib/transport/response_reader.h
+++ b/lib/transport/response_reader.h
@@ -30,6 +30,12 @@
     /// Adds bytes of the body as they were received; returns like add_header_line().
     bool add_body(std::string_view bytes);
 
+    /// Drops what has been received. All further add methods return false.
+    void abandon(http_error error);
+
+    /// Memory that the response takes, in bytes. Counts each header as its line and an entry.
+    std::size_t held_bytes() const;
+
     /// Why the response must be abandoned; http_error::none unless an add method returned false.
     http_error error() const { return error_; }
 
@@ -64,6 +70,8 @@
     http_response response_;
     /// Bytes of all header lines, including those of interim responses.
     std::size_t header_bytes_ = 0;
+    /// Headers of the current head, in bytes.
+    std::size_t field_bytes_ = 0;
     std::optional<std::uint64_t> length_;
     /// Set if the body is chunked.
     std::optional<chunked_body> chunks_;
--- a/tests/integration/link_faults_test.cpp
+++ b/tests/integration/link_faults_test.cpp
@@ -1,5 +1,6 @@
 #include "../support/fleet.h"
 #include "../support/proxy.h"
+#include "../support/registrar.h"
 
 #include "chestnutstand/transport/headers.h"
 
@@ -21,35 +22,6 @@
 
 constexpr int calls_per_fault = 16;
 constexpr milliseconds call_timeout{1'000};
-constexpr milliseconds register_interval{500};
-
-/// Periodically registers an upstream under the address of a proxy in front of it.
-class registrar {
-public:
-    registrar(fleet& test_fleet, std::uint16_t admin_port, std::uint16_t upstream_port)
-        : thread_{[this, &test_fleet, admin_port, upstream_port] {
-              while (!stopping_) {
-                  test_fleet.control(admin_port, "/register",
-                                     {{"service", "alpha"},
-                                      {"address", "127.0.0.1:" + std::to_string(upstream_port)},
-                                      {"slots", 100}});
-                  std::this_thread::sleep_for(register_interval);
-              }
-          }}
-    {
-    }
-    registrar(const registrar&) = delete;
-    registrar& operator=(const registrar&) = delete;
-    ~registrar()
-    {
-        stopping_ = true;
-        thread_.join();
-    }
-
-private:
-    std::atomic<bool> stopping_ = false;
-    std::thread thread_;
-};
 
 /// Number of calls under one fault by outcome.
 struct call_counts {
