--- a/include/chestnutstand/node/ingress.h
+++ b/include/chestnutstand/node/ingress.h
@@ -25,12 +25,6 @@
     std::string origin_service;
 };
 
-/// Request of a caller that has not been answered.
-struct open_request {
-    std::shared_ptr<responder> response;
-    std::string request_id;
-};
-
 /// Accepts calls over HTTP from callers and from the upstream of this node.
 class ingress {
 public:
@@ -46,10 +40,10 @@
     http_response refuse_unreadable(const request_refusal& error);
 
     /// Adds "Connection: close" to all further responses. Refuses routed calls that may run beyond
-    /// the end of the drain, which would cut them off.
-    void begin_drain(time_point end)
+    /// the cutoff, at which finish_drain() will be called.
+    void begin_drain(time_point cutoff)
     {
-        drain_end_ = end;
+        latest_deadline_ = cutoff;
         draining_ = true;
     }
 
@@ -62,6 +56,11 @@
     bool idle() const;
 
 private:
+    /// Request of a caller that has not been answered.
+    struct open_request {
+        std::shared_ptr<responder> response;
+        std::string request_id;
+    };
     using request_ptr = std::shared_ptr<open_request>;
 
     request_ptr open(const http_request& request, const std::shared_ptr<responder>& response);
@@ -89,7 +88,7 @@
     mutable std::mutex requests_mutex_;
     /// Requests that have not been answered.
     std::unordered_set<request_ptr> requests_;
-    std::atomic<time_point> drain_end_ = time_point::max();
+    std::atomic<time_point> latest_deadline_ = time_point::max();
     std::atomic<bool> draining_ = false;
     std::atomic<bool> refusing_ = false;
 };
--- a/include/chestnutstand/transport/http_client.h
+++ b/include/chestnutstand/transport/http_client.h
@@ -50,8 +50,9 @@
 
 inline constexpr std::size_t default_response_limit = std::size_t{8} << 20U;
 
-/// Limits of the bodies that a client receives, in bytes.
+/// Limits of the responses that a client receives, in bytes.
 struct http_client_limits {
+    /// Limit of the body of one response.
     std::size_t max_response_bytes = default_response_limit;
     /// Limit of all responses in progress together. Beyond it, the largest one is ended.
     std::size_t max_held_bytes = 32 * default_response_limit;
--- a/lib/node/executor.cpp
+++ b/lib/node/executor.cpp
@@ -21,9 +21,6 @@
 /// A token bucket starts empty. That of the slowdown probes is constructed with a start time this
 /// far in the past, in which it fills up, because the slowdown of the upstream is unknown at first.
 constexpr milliseconds slowdown_probe_prefill_time{1'000};
-/// A call that would have less time than this until the node ends is not started: the next poll may
-/// come as late, and the response has to reach the caller.
-constexpr milliseconds min_time_to_run{50};
 constexpr int status_too_many_requests = 429;
 constexpr int status_server_error = 500;
 constexpr int status_service_unavailable = 503;
@@ -122,21 +119,6 @@
     lease_end_ = end;
 }
 
-void executor::refuse_calls_beyond(time_point end)
-{
-    const std::lock_guard lock{mutex_};
-    latest_deadline_ = end;
-}
-
-void executor::begin_drain()
-{
-    const std::lock_guard lock{mutex_};
-    draining_ = true;
-    if (queue_) {
-        queue_->drain();
-    }
-}
-
 void executor::apply_configuration(time_point now)
 {
     const auto current = configuration_();
@@ -368,41 +350,6 @@
     return settled;
 }
 
-template <typename Predicate>
-void executor::refuse_queued_if(Predicate is_refused, reason_code reason,
-                                deferred_actions& deferred)
-{
-    for (auto it = executions_.begin(); it != executions_.end();) {
-        const auto& execution = *it->second;
-        if (execution.started || !is_refused(execution) || !queue_->remove(execution.id)) {
-            ++it;
-            continue;
-        }
-        discard_attempt(execution);
-        deferred.refusals.push_back(
-            {execution.done, execution.key, reason, report_locked(), execution.call.request_id});
-        it = executions_.erase(it);
-    }
-}
-
-void executor::refuse_queued(reason_code reason, deferred_actions& deferred)
-{
-    refuse_queued_if([](const call_execution& /*queued*/) { return true; }, reason, deferred);
-}
-
-/// Refuses the queued calls whose responses would come after the node has ended, as another node
-/// may still run them.
-void executor::refuse_unfinishable(time_point now, deferred_actions& deferred)
-{
-    if (latest_deadline_ == time_point::max()) {
-        return;
-    }
-    const auto ends_too_late = [&](const call_execution& queued) {
-        return now + std::max(usual_time_of(queued.call, now), min_time_to_run) > latest_deadline_;
-    };
-    refuse_queued_if(ends_too_late, reason_code::draining, deferred);
-}
-
 void executor::run_deferred(deferred_actions deferred)
 {
     for (const auto& execution : deferred.to_send) {
--- /dev/null
+++ b/lib/node/executor_drain.cpp
@@ -0,0 +1,66 @@
+// Refusals of an executor whose node or upstream ends.
+
+#include "chestnutstand/node/executor.h"
+
+#include <algorithm>
+
+namespace chestnutstand {
+namespace {
+
+/// A call that would have less time than this until the node ends is not started: the next poll may
+/// come as late, and the response has to reach the caller.
+constexpr milliseconds min_time_to_run{50};
+
+} // namespace
+
+void executor::refuse_calls_beyond(time_point end)
+{
+    const std::lock_guard lock{mutex_};
+    latest_deadline_ = end;
+}
+
+void executor::begin_drain()
+{
+    const std::lock_guard lock{mutex_};
+    draining_ = true;
+    if (queue_) {
+        queue_->drain();
+    }
+}
+
+template <typename Predicate>
+void executor::refuse_queued_if(Predicate is_refused, reason_code reason,
+                                deferred_actions& deferred)
+{
+    for (auto it = executions_.begin(); it != executions_.end();) {
+        const auto& execution = *it->second;
+        if (execution.started || !is_refused(execution) || !queue_->remove(execution.id)) {
+            ++it;
+            continue;
+        }
+        discard_attempt(execution);
+        deferred.refusals.push_back(
+            {execution.done, execution.key, reason, report_locked(), execution.call.request_id});
+        it = executions_.erase(it);
+    }
+}
+
+void executor::refuse_queued(reason_code reason, deferred_actions& deferred)
+{
+    refuse_queued_if([](const call_execution& /*queued*/) { return true; }, reason, deferred);
+}
+
+/// Refuses the queued calls whose responses would come after the node has ended, as another node
+/// may still run them.
+void executor::refuse_unfinishable(time_point now, deferred_actions& deferred)
+{
+    if (latest_deadline_ == time_point::max()) {
+        return;
+    }
+    const auto ends_too_late = [&](const call_execution& queued) {
+        return now + std::max(usual_time_of(queued.call, now), min_time_to_run) > latest_deadline_;
+    };
+    refuse_queued_if(ends_too_late, reason_code::draining, deferred);
+}
+
+} // namespace chestnutstand
--- a/lib/node/ingress.cpp
+++ b/lib/node/ingress.cpp
@@ -163,7 +163,7 @@
         return;
     }
     auto& call = std::get<service_call>(parsed);
-    if (call.deadline > drain_end_.load()) {
+    if (call.deadline > latest_deadline_.load()) {
         refuse(request, opened, reason_code::draining,
                "this node stops before the time limit of the request");
         return;
--- a/lib/transport/client_sockets.cpp
+++ b/lib/transport/client_sockets.cpp
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -11,6 +12,10 @@
 namespace chestnutstand {
 namespace {
 
+// Long enough for several retransmissions within a data centre and for one across regions.
+constexpr unsigned tcp_user_timeout_ms = 750;
+constexpr int keepalive_interval_s = 2;
+
 struct endpoint {
     std::string address;
     int port = 0;
@@ -44,6 +49,18 @@
 
 } // namespace
 
+void limit_silence(int socket)
+{
+    const int on = 1;
+    ::setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &tcp_user_timeout_ms,
+                 sizeof tcp_user_timeout_ms);
+    ::setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+    ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &keepalive_interval_s,
+                 sizeof keepalive_interval_s);
+    ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &keepalive_interval_s,
+                 sizeof keepalive_interval_s);
+}
+
 int client_sockets::open(int family, int type, int protocol)
 {
     const int socket = ::socket(family, type | SOCK_CLOEXEC, protocol);
--- a/lib/transport/client_sockets.h
+++ b/lib/transport/client_sockets.h
@@ -7,6 +7,11 @@
 
 namespace chestnutstand {
 
+/// Sets the TCP user timeout and keepalive of a socket. They close a connection whose peer is gone
+/// or has lost its state, so that neither a request nor a pooled connection waits for the peer
+/// until a deadline.
+void limit_silence(int socket);
+
 /// Identifies a connection of one client.
 struct connection_key {
     std::string peer_address;
--- a/lib/transport/curl_client.cpp
+++ b/lib/transport/curl_client.cpp
@@ -11,10 +11,7 @@
 #include <cmath>
 #include <cstdlib>
 #include <mutex>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <optional>
-#include <sys/socket.h>
 #include <thread>
 #include <unordered_map>
 #include <utility>
@@ -26,9 +23,6 @@
 constexpr long connect_timeout_ms = 300;
 // Middleboxes drop the state of idle connections; a request on such a connection gets no response.
 constexpr long max_connection_idle_s = 10;
-// Long enough for several retransmissions within a data centre and for one across regions.
-constexpr unsigned tcp_user_timeout_ms = 750;
-constexpr int keepalive_interval_s = 2;
 constexpr long max_pooled_connections = 256;
 /// A handle takes a few kilobytes; more concurrent transfers than this are rare.
 constexpr std::size_t max_idle_handles = 64;
@@ -116,19 +110,9 @@
     return CURL_PREREQFUNC_OK;
 }
 
-/// Sets the TCP user timeout and keepalive. They close a connection whose peer is gone or has lost
-/// its state, so that neither a request nor a pooled connection waits for the peer until a
-/// deadline.
 int set_socket_options(void* /*user*/, curl_socket_t socket, curlsocktype /*purpose*/)
 {
-    const int on = 1;
-    ::setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &tcp_user_timeout_ms,
-                 sizeof tcp_user_timeout_ms);
-    ::setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
-    ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &keepalive_interval_s,
-                 sizeof keepalive_interval_s);
-    ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &keepalive_interval_s,
-                 sizeof keepalive_interval_s);
+    limit_silence(socket);
     return CURL_SOCKOPT_OK;
 }
 
@@ -478,14 +462,14 @@
     if (!budget_.take_abandoned()) {
         return;
     }
-    std::vector<request_id> abandoned;
+    std::vector<std::pair<request_id, http_error>> abandoned;
     for (const auto& [id, exchange] : running_) {
         if (exchange->reader->error() != http_error::none) {
-            abandoned.push_back(id);
+            abandoned.emplace_back(id, exchange->reader->error());
         }
     }
-    for (const request_id id : abandoned) {
-        finish(id, http_error::too_large);
+    for (const auto& [id, error] : abandoned) {
+        finish(id, error);
     }
 }
 
