Log that a node drains once it does

The line was written before the components began to drain, so that readers of the log could act on a state that was not in force yet.

The kernel now writes it when all components drain.

--- a/lib/node/kernel.cpp
+++ b/lib/node/kernel.cpp
@@ -164,6 +164,7 @@
     for (component* started : started_) {
         started->begin_drain(*this);
     }
+    log_event(log_level::info, "node drains");
     // Give peers and callers time to learn of the drain.
     sleep_for(milliseconds{settings_.lame_duck_ms});
     for (component* started : started_) {
--- a/tools/chestnutstand/node.cpp
+++ b/tools/chestnutstand/node.cpp
@@ -98,7 +98,6 @@
                {"node_port", std::uint64_t{ports.node}},
                {"gossip_port", std::uint64_t{ports.gossip}}});
     wait_for_stop(signals, file, node);
-    log_event(log_level::info, "node drains");
     const bool idle = node.drain_and_stop();
     log_event(idle ? log_level::info : log_level::warning, "node stopped", {{"idle", idle}});
     return idle ? exit_success : exit_failed;
