--- a/tests/integration/endless_response_test.cpp
+++ b/tests/integration/endless_response_test.cpp
@@ -189,11 +189,13 @@
     for (std::size_t kind = 0; kind < endless_upstream::kinds().size(); ++kind) {
         SCOPED_TRACE(endless_upstream::kinds()[kind].name);
         std::vector<std::future<http_result>> proper;
+        proper.reserve(proper_calls);
         for (int i = 0; i < proper_calls; ++i) {
             proper.push_back(send(i % 2 == 0 ? *entry_ : *executor_, "/proper"));
         }
         std::this_thread::sleep_for(milliseconds{100});
         std::vector<std::future<http_result>> endless;
+        endless.reserve(calls_per_kind);
         for (int i = 0; i < calls_per_kind; ++i) {
             endless.push_back(
                 send(i % 2 == 0 ? *entry_ : *executor_, "/endless/" + std::to_string(kind)));
