--- a/unittests/transport/invalid_fields.h
+++ b/unittests/transport/invalid_fields.h
@@ -9,8 +9,7 @@
 /// length of 10 in some place.
 inline const std::vector<std::string> invalid_fields{
     "Content-Length: 10\xb2",
-    "Content-Length: 1\xb2"
-    "0",
+    "Content-Length: 1\xb2.",
     "Content-Length: 5,",
     "Content-Length: 5, 10",
     "Content-Length: 10, 10",
--- a/unittests/transport/malformed_response_test.cpp
+++ b/unittests/transport/malformed_response_test.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace chestnutstand {
@@ -39,7 +40,10 @@
         "HTTP/1.1 200 OK\r\nContent-Length: 999999999999999999999999" + end,
     };
     for (const std::string& fields : invalid_fields) {
-        responses.push_back("HTTP/1.1 200 OK\r\n" + fields + end);
+        std::string response = "HTTP/1.1 200 OK\r\n";
+        response += fields;
+        response += end;
+        responses.push_back(std::move(response));
     }
     for (const std::string& response : responses) {
         fake_server server{[&](raw_socket& connection, int, int) {
