Read tenants, cold limits and uploads from the document

Adds the fields, settings, header names and reasons that the parts of docs/design/hard-load.md share, so that they can be built side by side. Nothing uses them yet.

--- a/include/chestnutstand/config/document.h
+++ b/include/chestnutstand/config/document.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -43,6 +44,10 @@
     std::string health_path;
     /// Connections that one upstream accepts from all callers together; 0 means unlimited.
     std::uint32_t max_connections = 0;
+    /// Time for which an upstream stays slow after its start.
+    double cold_start_s = 0.0;
+    /// Requests per second that an upstream takes while it is cold; 0 means not limited.
+    double cold_per_s = 0.0;
 
     const priority_config* find_priority(std::string_view priority) const;
 };
@@ -58,10 +63,11 @@
     non_idempotent, ///< May run once at most.
     idempotent,
     download, ///< Idempotent, with large responses.
+    upload,   ///< Not idempotent, with large bodies.
 };
 
-inline constexpr name_table<request_kind, 3> request_kind_names{
-    {"non_idempotent", "idempotent", "download"}};
+inline constexpr name_table<request_kind, 4> request_kind_names{
+    {"non_idempotent", "idempotent", "download", "upload"}};
 
 /// How requests to one host whose path has one prefix are handled.
 struct route {
@@ -81,9 +87,14 @@
     /// Rank of the priority class; 0 is the most urgent.
     std::uint32_t rank = 0;
     request_kind kind = request_kind::non_idempotent;
+    /// Whether requests need no API key although the document has tenants.
+    bool anonymous = false;
 
     /// Whether a request may run more than once.
-    bool idempotent() const { return kind != request_kind::non_idempotent; }
+    bool idempotent() const
+    {
+        return kind == request_kind::idempotent || kind == request_kind::download;
+    }
 
     /// Service of a request; position, in [0, 1), selects the target within the weights of the
     /// split.
@@ -100,12 +111,27 @@
     friend bool operator==(const caller_limits&, const caller_limits&) = default;
 };
 
+/// Client account whose requests carry an API key and share one rate limit over all nodes.
+struct tenant {
+    std::string name;
+    /// API keys; several are valid at once while they are rotated.
+    std::vector<std::string> keys;
+    /// Replaces the rank of the route; nullopt for none.
+    std::optional<std::uint32_t> rank;
+    /// Requests per second over all nodes; 0 means not limited.
+    double rate_per_s = 0.0;
+    /// Requests beyond the rate that may follow a pause.
+    double burst = 0.0;
+};
+
 /// The whole configuration document after validation.
 struct document {
     /// Increases with every accepted change; 0 before the first.
     std::uint64_t version = 0;
     std::vector<service_config> services;
     std::vector<route> routes;
+    /// If there are any, requests need an API key, except on anonymous routes.
+    std::vector<tenant> tenants;
     caller_limits limits;
     /// Names in the document that this version does not know, with what they are read as.
     std::vector<std::string> unknown_names;
--- a/include/chestnutstand/config/settings.h
+++ b/include/chestnutstand/config/settings.h
@@ -88,6 +88,11 @@
     double grace_s = 0;
     /// Memory in MiB beyond which the platform ends the process; 0 for no limit.
     double memory_limit_mb = 0;
+    /// Open descriptors beyond which the platform refuses further ones; 0 for those of the process
+    /// limit.
+    std::uint32_t descriptor_limit = 0;
+    /// Bandwidth of the VM's link; 0 if unknown.
+    double link_mbps = 0;
     double log_retention_ms = 86'400'000;
 };
 
--- a/include/chestnutstand/transport/call.h
+++ b/include/chestnutstand/transport/call.h
@@ -73,6 +73,8 @@
     std::string idempotency_key;
     /// Unique per attempt; the upstream returns it in its response.
     std::string request_id;
+    /// Name of the tenant whose API key the request carried; empty for none.
+    std::string tenant;
     http_request request;
     /// Null when the call cannot be cancelled.
     std::shared_ptr<cancellation> cancel;
--- a/include/chestnutstand/transport/headers.h
+++ b/include/chestnutstand/transport/headers.h
@@ -45,6 +45,10 @@
     std::string upstream_rate_limit;
     /// Set in the responses of an upstream that is about to leave.
     std::string upstream_leaving;
+    /// Tells an upstream the tenant of a request.
+    std::string tenant;
+    /// Time in milliseconds for which an upstream stays cold, in responses of its health path.
+    std::string upstream_cold;
 };
 
 /// Compares header names case-insensitively.
--- a/lib/config/document_parser.cpp
+++ b/lib/config/document_parser.cpp
@@ -51,6 +51,7 @@
 
 /// Length limit of host names and path prefixes.
 constexpr std::size_t max_prefix_length = 1'024;
+constexpr std::size_t max_api_key_length = 512;
 
 bool is_host(std::string_view text)
 {
@@ -72,6 +73,14 @@
     return text.empty() || text.front() == '/';
 }
 
+bool is_api_key(std::string_view text)
+{
+    return !text.empty() && text.size() <= max_api_key_length &&
+           std::all_of(text.begin(), text.end(),
+                       [](unsigned char c) { return absl::ascii_isgraph(c); });
+}
+
+constexpr schema::text_format api_key_format{"1 to 512 visible characters", is_api_key};
 constexpr schema::text_format host_format{"a host name without a slash", is_host};
 constexpr schema::text_format prefix_format{"a path that begins and ends with /", is_path_prefix};
 constexpr schema::text_format health_format{"a path that begins with /", is_health_path};
@@ -98,6 +107,19 @@
         schema::number("latency_target_ms", "ms", {1, 600'000}, &route::latency_target),
         schema::integer("attempts", "", {1, 100}, &route::attempts),
         schema::integer("rank", "", {0, 1'000'000}, &route::rank),
+        schema::flag("anonymous", &route::anonymous),
+    };
+    return keys;
+}
+
+const schema::object_schema<tenant>& tenant_keys()
+{
+    static const schema::object_schema<tenant> keys{
+        schema::required(schema::text("name", name_format, &tenant::name)),
+        schema::text_list("keys", {0, 100}, api_key_format, &tenant::keys),
+        schema::optional_integer("rank", "", {0, 1'000'000}, &tenant::rank),
+        schema::number("rate_per_s", "1/s", {0, 1e9}, &tenant::rate_per_s),
+        schema::number("burst", "requests", {0, 1e9}, &tenant::burst),
     };
     return keys;
 }
@@ -122,6 +144,8 @@
         schema::required(schema::text("name", name_format, &service_config::name)),
         schema::text("health_path", health_format, &service_config::health_path),
         schema::integer("max_connections", "", {0, 1'000'000}, &service_config::max_connections),
+        schema::number("cold_start_s", "s", {0, 86'400}, &service_config::cold_start_s),
+        schema::number("cold_per_s", "1/s", {0, 1e6}, &service_config::cold_per_s),
     };
     return keys;
 }
@@ -133,6 +157,7 @@
         schema::required(schema::named_list("services", {0, 10'000}, record_service_keys(),
                                             &document::services)),
         schema::required(schema::list("routes", {0, 100'000}, route_keys(), &document::routes)),
+        schema::named_list("tenants", {0, 100'000}, tenant_keys(), &document::tenants),
         schema::object("limits", caller_limits_keys(), &document::limits),
     };
     return keys;
--- a/lib/config/schema.h
+++ b/lib/config/schema.h
@@ -104,6 +104,30 @@
     return rule;
 }
 
+/// An integer that may be left out.
+template <typename T, typename Integer>
+key_rule<T> optional_integer(std::string_view name, std::string_view unit, limits range,
+                             std::optional<Integer> T::*member)
+{
+    struct holder {
+        Integer value{};
+    };
+    auto inner = integer<holder, Integer>(name, unit, range, &holder::value);
+    key_rule<T> rule;
+    rule.description = std::move(inner.description);
+    rule.description.default_value = "none";
+    rule.read = [read = std::move(inner.read), member](const nlohmann::json& value,
+                                                       const json_location& at, T& out) {
+        holder read_value;
+        if (auto status = read(value, at, read_value); !status.ok()) {
+            return status;
+        }
+        out.*member = read_value.value;
+        return absl::OkStatus();
+    };
+    return rule;
+}
+
 template <typename T>
 key_rule<T> flag(std::string_view name, bool T::*member)
 {
@@ -135,6 +159,34 @@
     return rule;
 }
 
+/// A list of texts.
+template <typename T>
+key_rule<T> text_list(std::string_view name, limits length, text_format format,
+                      std::vector<std::string> T::*member)
+{
+    key_rule<T> rule;
+    rule.description = {std::string{name}, "list", "",
+                        str_cat(range_text(length), " of: ", format.expected), "empty"};
+    rule.read = [length, format, member](const nlohmann::json& value, const json_location& at,
+                                         T& out) {
+        const auto size = static_cast<double>(value.size());
+        if (!value.is_array() || size < length.lowest || size > length.highest) {
+            return invalid_value(at, str_cat("a list of ", range_text(length), " texts"), value);
+        }
+        std::vector<std::string> texts;
+        for (std::size_t i = 0; i < value.size(); ++i) {
+            if (!value[i].is_string() || !format.matches(value[i].get_ref<const std::string&>())) {
+                // The value may be a secret, which errors and logs must not show.
+                return invalid_value(at.element(i), format.expected);
+            }
+            texts.push_back(value[i].get<std::string>());
+        }
+        out.*member = std::move(texts);
+        return absl::OkStatus();
+    };
+    return rule;
+}
+
 /// A text that is one of the names; to_member converts the name to the value of the member.
 template <typename T, typename Member, typename Convert>
 key_rule<T> choice(std::string_view name, std::vector<std::string> names, std::size_t default_name,
--- a/lib/config/settings_file.cpp
+++ b/lib/config/settings_file.cpp
@@ -88,6 +88,8 @@
         schema::text("upstream_load", header_format, &header_names::upstream_load),
         schema::text("upstream_rate_limit", header_format, &header_names::upstream_rate_limit),
         schema::text("upstream_leaving", header_format, &header_names::upstream_leaving),
+        schema::text("tenant", header_format, &header_names::tenant),
+        schema::text("upstream_cold", header_format, &header_names::upstream_cold),
     };
     return keys;
 }
@@ -142,6 +144,8 @@
         schema::number("lame_duck_ms", "ms", {0, 60'000}, &settings::lame_duck_ms),
         schema::number("grace_s", "s", {0, 3'600}, &settings::grace_s),
         schema::number("memory_limit_mb", "MiB", {0, 1'048'576}, &settings::memory_limit_mb),
+        schema::integer("descriptor_limit", "", {0, 10'000'000}, &settings::descriptor_limit),
+        schema::number("link_mbps", "Mbit/s", {0, 1'000'000}, &settings::link_mbps),
         schema::number("log_retention_ms", "ms", {1'000, 31'536'000'000.0},
                        &settings::log_retention_ms),
     };
--- a/lib/node/problem.cpp
+++ b/lib/node/problem.cpp
@@ -42,6 +42,8 @@
     case reason_code::malformed_key:
     case reason_code::depth_exceeded:
         return 400;
+    case reason_code::unknown_api_key:
+        return 401;
     case reason_code::unknown_service:
     case reason_code::unknown_route:
         return 404;
@@ -56,6 +58,8 @@
         return 422;
     case reason_code::key_required:
         return 428;
+    case reason_code::quota_exceeded:
+        return 429;
     case reason_code::headers_too_large:
         return 431;
     case reason_code::deadline_exceeded:
--- a/lib/transport/wire_convert.cpp
+++ b/lib/transport/wire_convert.cpp
@@ -92,6 +92,7 @@
     message.set_idempotency_key(call.idempotency_key);
     message.set_request_id(call.request_id);
     message.set_movable(call.movable);
+    message.set_tenant(call.tenant);
     message.set_repeatability(wire_repeatabilities.at(static_cast<std::size_t>(call.repeat)));
     auto* request = message.mutable_request();
     request->set_method(call.request.method);
@@ -112,6 +113,7 @@
     result.idempotency_key = call.idempotency_key();
     result.request_id = call.request_id();
     result.movable = call.movable();
+    result.tenant = call.tenant();
     // An unknown value must not make the call repeatable.
     result.repeat =
         value_from_wire(wire_repeatabilities, call.repeatability(), repeatability::at_most_once);
