--- a/unittests/config/document_test.cpp
+++ b/unittests/config/document_test.cpp
@@ -86,9 +86,9 @@
     EXPECT_EQ(parsed->routes.size(), 3U);
     EXPECT_FALSE(parsed->routes.front().idempotent());
     ASSERT_EQ(parsed->unknown_names.size(), 1U);
-    EXPECT_EQ(parsed->unknown_names.front(),
-              "record: routes[0].kind: expected one of non_idempotent, idempotent, download, found "
-              "\"replay\", read as non_idempotent");
+    EXPECT_EQ(parsed->unknown_names.front(), "record: routes[0].kind: expected one of "
+                                             "non_idempotent, idempotent, download, upload, found "
+                                             "\"replay\", read as non_idempotent");
     EXPECT_NE(error_of(with_replaced("\"idempotent\"", "7")), "");
 }
 
@@ -99,10 +99,9 @@
         R"({"owner": "team", "services": [{"name": "ledger", "priorities": [{"name": "read"}]}],
             "routes": [{"name": "view", "host": "h", "service": "ledger", "kind": "replay"}]})",
         "section");
-    EXPECT_EQ(
-        parsed.status().message(),
-        "section: routes[0].kind: expected one of non_idempotent, idempotent, download, found "
-        "\"replay\"");
+    EXPECT_EQ(parsed.status().message(), "section: routes[0].kind: expected one of non_idempotent, "
+                                         "idempotent, download, upload, found "
+                                         "\"replay\"");
 }
 
 // Guards against a shorter matching prefix, or one of another host, that is preferred.
