--- a/lib/node/routed_call.h
+++ b/lib/node/routed_call.h
@@ -12,4 +12,9 @@
     return call.repeat != repeatability::by_class;
 }
 
+inline bool runs_at_most_once(const service_call& call)
+{
+    return call.repeat == repeatability::at_most_once;
+}
+
 } // namespace chestnutstand
