Limit the requests that start on a cold upstream

A service may have cold_per_s: its upstreams take only so many requests per second while they are cold, and crash well above that rate. Nothing kept to it; a warm upstream starts about 56 requests a second.

The admission queue counts the requests that may reach a cold phase that is not known yet. A statement of the health path that was asked for after them takes them off; when few are left, the node asks. All other requests take tokens at cold_per_s. Movable calls that would wait are refused with upstream_cold.

--- a/include/chestnutstand/admission/admission_queue.h
+++ b/include/chestnutstand/admission/admission_queue.h
@@ -3,7 +3,7 @@
 #include "chestnutstand/admission/class_queue.h"
 #include "chestnutstand/admission/concurrency_limit.h"
 #include "chestnutstand/admission/decaying_mean.h"
-#include "chestnutstand/admission/rate_limit.h"
+#include "chestnutstand/admission/start_limit.h"
 #include "chestnutstand/config/document.h"
 #include "chestnutstand/support/clock.h"
 #include "chestnutstand/support/reason.h"
@@ -90,9 +90,15 @@
     /// Sets the requests per second that the upstream takes; nullopt for no limit.
     void set_rate_limit(std::optional<double> per_second, time_point now)
     {
-        rate_limit_.set(per_second, now);
+        rate_limit_.named().set(per_second, now);
     }
 
+    /// Limit that applies while the upstream is cold.
+    cold_limit& cold() { return rate_limit_.cold(); }
+
+    /// Whether the limit of is_delayed_by_rate_limit() is that of a cold upstream.
+    bool is_cold_limit(time_point now) const { return rate_limit_.is_cold_limit(now); }
+
     /// Whether a request that arrives now would wait for the rate limit for so long that another
     /// upstream is likely to be faster.
     bool is_delayed_by_rate_limit(std::size_t priority, time_point now);
@@ -175,7 +181,7 @@
     /// To be returned by next() as refused.
     std::deque<queued_request> requests_of_removed_classes_;
     decaying_mean service_time_;
-    rate_limit rate_limit_;
+    start_limit rate_limit_;
     double slowdown_ = 1.0;
     bool draining_ = false;
 };
--- a/include/chestnutstand/node/executor.h
+++ b/include/chestnutstand/node/executor.h
@@ -12,6 +12,7 @@
 #include "chestnutstand/transport/headers.h"
 #include "chestnutstand/transport/http_client.h"
 
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -72,6 +73,9 @@
     /// Observes the response of an upstream process that is about to become the upstream.
     void observe_verification(const local_upstream& verified, const http_response& response);
 
+    /// Observes a heartbeat of an upstream process, which stays cold for the time left.
+    void observe_heartbeat(const local_upstream& sender, milliseconds cold_left, time_point now);
+
     /// Refuses routed calls whose deadline is later, and queued calls that are not expected to be
     /// completed by then, because the node ends.
     void refuse_calls_beyond(time_point end);
@@ -182,6 +186,26 @@
     void observe_slowdown(const http_result& result, time_point now);
     /// Observes what a response of an upstream process says about that process.
     void observe_upstream_state(const local_upstream& sender, const http_response& response);
+    /// What a statement of the upstream about its cold phase has changed.
+    struct cold_change {
+        bool began = false;
+        bool ended = false;
+        milliseconds left{0};
+    };
+    /// Whether responses of the health path state that the upstream is cold or not. Requires the
+    /// mutex to be held, as do the next three methods.
+    bool can_ask_whether_cold() const;
+    /// Passes the limit for a cold upstream to the queue.
+    void apply_cold_limit(time_point now);
+    /// Treats an upstream process as cold unless it is the current one.
+    void observe_new_process(const std::optional<local_upstream>& next, time_point now);
+    cold_change observe_cold_time(milliseconds left, time_point sent, time_point now);
+    /// Observes what a response to a request that was sent at that time says of a cold phase.
+    void observe_cold_header(const local_upstream& sender, const http_response& response,
+                             time_point sent, bool is_health_check);
+    void log_cold_change(const local_upstream& sender, const cold_change& change);
+    /// Sends a health check if the cold limit needs a statement of the upstream.
+    void check_cold(time_point now);
     /// Probes an upstream that was slow at its last report if that report is old. Takes no token of
     /// slowdown_probe_budget_.
     void probe_stale_slowdown(time_point now);
@@ -192,7 +216,7 @@
     milliseconds usual_time_of(const service_call& call, time_point now) const;
     /// Path at which the upstream reports its load; empty when none is configured.
     std::string health_path() const;
-    void probe_slowdown(const std::string& base_url, const std::string& path);
+    void probe_slowdown(const local_upstream& asked, const std::string& path);
     /// Refuses a call that this node cannot run, or else passes it to enter_queue().
     void offer_to_queue(std::uint64_t target_instance, service_call call,
                         const std::optional<key_id>& key, const call_done& done, time_point now);
@@ -218,6 +242,11 @@
     upstream_slowdown slowdown_;
     /// What the upstream process has said of itself.
     upstream_statement statement_;
+    /// End of the cold phase by the last heartbeat or, before it, by the document.
+    time_point stated_cold_until_;
+    bool cold_check_running_ = false;
+    time_point next_cold_check_;
+    std::atomic<bool> last_cold_check_failed_{false};
     bool slowdown_probe_running_ = false;
     /// Calls that wait for the running slowdown probe.
     std::vector<waiting_routed_call> waiting_for_slowdown_;
--- a/lib/admission/admission_queue.cpp
+++ b/lib/admission/admission_queue.cpp
@@ -330,10 +330,11 @@
 /// served before it.
 milliseconds admission_queue::expected_wait_for_rate(std::size_t priority, time_point now)
 {
-    if (!rate_limit_.per_second()) {
+    const auto limit = rate_limit_.per_second(now);
+    if (!limit) {
         return milliseconds{0};
     }
-    const double limit_per_ms = *rate_limit_.per_second() / ms_per_second;
+    const double limit_per_ms = *limit / ms_per_second;
     double ahead = static_cast<double>(classes_[priority].requests_ahead(now));
     double left_per_ms = limit_per_ms;
     for (const auto index : by_urgency_) {
@@ -470,8 +471,8 @@
     load_report load;
     load.in_flight = in_flight();
     load.limit = limit_.value();
-    if (rate_limit_.per_second()) {
-        const double at_once = *rate_limit_.per_second() / ms_per_second * service_time_.mean();
+    if (const auto per_second = rate_limit_.per_second(now)) {
+        const double at_once = *per_second / ms_per_second * service_time_.mean();
         const double limit =
             std::clamp(std::ceil(at_once), 1.0, std::max(1.0, static_cast<double>(load.limit)));
         load.limit = static_cast<std::uint32_t>(limit);
--- a/lib/node/admin_api.cpp
+++ b/lib/node/admin_api.cpp
@@ -263,7 +263,11 @@
         return;
     }
     node_.control().post([this, response, heartbeat = *std::move(heartbeat)] {
-        const auto result = node_.get<upstream_registry>().announce(heartbeat, ms_clock::now());
+        const auto now = ms_clock::now();
+        const auto result = node_.get<upstream_registry>().announce(heartbeat, now);
+        if (result == heartbeat_result::accepted) {
+            node_.get<executor>().observe_heartbeat(heartbeat.upstream, heartbeat.warmup_left, now);
+        }
         // An outdated heartbeat gets a success response too, because the sender must not retry it.
         response->send(json_response(
             200, {{"status", result == heartbeat_result::accepted ? "registered" : "outdated"}}));
--- a/lib/node/attempt_result.h
+++ b/lib/node/attempt_result.h
@@ -41,7 +41,8 @@
 {
     return result.outcome == call_outcome::not_run &&
            (result.reason == reason_code::upstream_slow ||
-            result.reason == reason_code::upstream_rate_limited);
+            result.reason == reason_code::upstream_rate_limited ||
+            result.reason == reason_code::upstream_cold);
 }
 
 /// Returns true if another attempt may succeed after this response.
--- a/lib/node/executor.cpp
+++ b/lib/node/executor.cpp
@@ -87,6 +87,7 @@
         if (service_changed) {
             refuse_queued(reason_code::no_upstream, deferred);
         }
+        observe_new_process(upstream, now);
         upstream_ = std::move(upstream);
         if (upstream_) {
             statement_.set_process(upstream_->id, upstream_->born_ms);
@@ -127,10 +128,12 @@
     if (queue_) {
         queue_->set_classes(classes);
         queue_->set_slots(usable_slots());
+        apply_cold_limit(now);
         return;
     }
     queue_.emplace(classes, usable_slots());
     apply_rate_limit(now);
+    apply_cold_limit(now);
     if (draining_) {
         queue_->drain();
     }
@@ -211,6 +214,9 @@
     for (const auto& execution : deferred.to_send) {
         send(execution);
     }
+    if (!deferred.to_send.empty()) {
+        check_cold(ms_clock::now());
+    }
     for (auto& refusal : deferred.refusals) {
         stats_.count(reason_event::refused, refusal.reason);
         log_refusal(refusal);
@@ -289,6 +295,8 @@
     observe_slowdown(upstream_result, now);
     if (is_response_of_upstream(execution->call, upstream_result, names_)) {
         observe_upstream_state(execution->upstream, upstream_result.response);
+        observe_cold_header(execution->upstream, upstream_result.response, execution->started_at,
+                            false);
     }
     call_result result =
         classify_upstream_response(execution->call, std::move(upstream_result), names_);
@@ -332,6 +340,7 @@
     {
         const std::lock_guard lock{mutex_};
         apply_configuration(now);
+        apply_cold_limit(now);
         update_queue_slowdown(now);
         apply_queue_decisions(now, deferred);
         const bool probes = upstream_ && !draining_ && !statement_.rate_limit();
@@ -344,6 +353,7 @@
         prober_.poll(*probe_url, now);
         probe_stale_slowdown(now);
     }
+    check_cold(now);
 }
 
 load_report executor::report() const
--- a/lib/node/executor_queue.cpp
+++ b/lib/node/executor_queue.cpp
@@ -36,7 +36,8 @@
         return reason_code::upstream_slow;
     }
     if (call.movable && queue_->is_delayed_by_rate_limit(*priority, now)) {
-        return reason_code::upstream_rate_limited;
+        return queue_->is_cold_limit(now) ? reason_code::upstream_cold
+                                          : reason_code::upstream_rate_limited;
     }
     return std::nullopt;
 }
--- a/lib/node/executor_slowdown.cpp
+++ b/lib/node/executor_slowdown.cpp
@@ -59,18 +59,22 @@
     if (std::exchange(slowdown_probe_running_, true)) {
         return;
     }
-    const std::string url = upstream_->base_url;
+    const local_upstream asked = *upstream_;
     const std::string path = health_path();
     lock.unlock();
-    probe_slowdown(url, path);
+    probe_slowdown(asked, path);
 }
 
-void executor::probe_slowdown(const std::string& base_url, const std::string& path)
+void executor::probe_slowdown(const local_upstream& asked, const std::string& path)
 {
-    client_.send(base_url, make_probe_request(path), slowdown_probe_timeout,
-                 [this](const http_result& result) {
+    const auto sent = ms_clock::now();
+    client_.send(asked.base_url, make_probe_request(path), slowdown_probe_timeout,
+                 [this, asked, sent](const http_result& result) {
                      const auto now = ms_clock::now();
                      observe_slowdown(result, now);
+                     if (result.error == http_error::none) {
+                         observe_cold_header(asked, result.response, sent, true);
+                     }
                      std::vector<waiting_routed_call> waiting_calls;
                      {
                          const std::lock_guard lock{mutex_};
@@ -117,7 +121,7 @@
 // to its usual speed. The probe asks for the report.
 void executor::probe_stale_slowdown(time_point now)
 {
-    std::string url;
+    local_upstream asked;
     std::string path;
     {
         const std::lock_guard lock{mutex_};
@@ -126,9 +130,9 @@
             return;
         }
         slowdown_probe_running_ = true;
-        url = upstream_->base_url;
+        asked = *upstream_;
     }
-    probe_slowdown(url, path);
+    probe_slowdown(asked, path);
 }
 
 } // namespace chestnutstand
