--- a/cmake/chestnutstand.cmake
+++ b/cmake/chestnutstand.cmake
@@ -27,4 +27,4 @@
 # All modules of a node. They are listed because CMake does not link objects of object libraries
 # transitively.
 set(CHESTNUTSTAND_NODE_MODULES cs_platform cs_node cs_dispatch cs_admission cs_keys cs_config cs_membership
-                               cs_routing cs_transport cs_support cs_proto)
+                               cs_routing cs_tenancy cs_transport cs_support cs_proto)
