Refuse waiting calls whose API key was removed

A call that waited in a queue started although a newer document no longer listed its key. The entry node now checks the key again before each attempt. An executor checks it when a call arrives, for its queue when a document comes into force, and in the critical section that starts a call, if its document is at least as new as the one that admitted the call. The line 'call answered' names the tenant.

--- a/include/chestnutstand/node/executor.h
+++ b/include/chestnutstand/node/executor.h
@@ -171,6 +171,9 @@
     void refuse_queued_if(Predicate is_refused, reason_code reason, deferred_actions& deferred);
     void refuse_queued(reason_code reason, deferred_actions& deferred);
     void refuse_unfinishable(time_point now, deferred_actions& deferred);
+    /// Refuses the queued calls whose API key the document in force no longer lists, once for each
+    /// document.
+    void refuse_removed_keys(deferred_actions& deferred);
     void run_deferred(deferred_actions deferred);
     void send(const call_execution_ptr& execution);
     void cancel(const call_execution_ptr& execution);
@@ -210,6 +213,8 @@
     std::optional<local_upstream> upstream_;
     std::shared_ptr<const document> applied_;
     std::string applied_service_;
+    /// Whether applied_ has changed since the API keys of the queued calls were checked.
+    bool keys_unchecked_ = false;
     /// Kept when the upstream is removed, because calls may still run on it.
     std::optional<admission_queue> queue_;
     std::unordered_map<std::uint64_t, call_execution_ptr> executions_;
--- a/lib/node/dispatcher.cpp
+++ b/lib/node/dispatcher.cpp
@@ -3,6 +3,7 @@
 #include "attempt_result.h"
 #include "dispatcher_core.h"
 #include "routed_call.h"
+#include "tenant_admission.h"
 
 #include "chestnutstand/support/log.h"
 
@@ -60,6 +61,7 @@
     const bool completed = result.outcome == call_outcome::completed;
     log_event(log_level::info, "call answered",
               {{"request_id", state.call.request_id},
+               {"tenant", state.call.tenant},
                {"service", state.call.service},
                {"class", state.call.priority},
                {"document_version", state.document_version},
@@ -116,6 +118,11 @@
         refuse(reason_code::no_configuration, done);
         return;
     }
+    // The document may have changed since the ingress read it.
+    if (!admits_tenant(*configuration, call)) {
+        refuse(reason_code::unknown_api_key, done);
+        return;
+    }
     const service_config* service = find_named(configuration->services, call.service);
     if (service == nullptr) {
         refuse(reason_code::unknown_service, done);
@@ -190,6 +197,20 @@
         });
 }
 
+/// Returns the version of the document in force if that admits the call's tenant, else nullopt. A
+/// call without a tenant needs no check and keeps its version.
+std::optional<std::uint64_t> dispatcher::core::admitting_version(const service_call& call) const
+{
+    if (call.tenant.empty()) {
+        return call.document_version;
+    }
+    const std::shared_ptr<const document> in_force = configuration_.load();
+    if (!in_force || !admits_tenant(*in_force, call)) {
+        return std::nullopt;
+    }
+    return in_force->version;
+}
+
 /// Sends the call to a member that has not been tried yet. Returns false if there is none, or if
 /// the attempts of the call or the budget of its call tree are used up. attempt_budget is the part
 /// of the tree's budget that the attempt carries to the upstream. The budget of the service is
@@ -199,6 +220,10 @@
     const auto attempt = std::make_shared<dispatched_attempt>();
     bool movable = false;
     bool fresh_connection = false;
+    const std::optional<std::uint64_t> admitted_by = admitting_version(state->call);
+    if (!admitted_by) {
+        return false;
+    }
     {
         const std::lock_guard lock{state->mutex};
         if (state->finished || state->withdrawn || state->placements >= attempt_limit) {
@@ -236,6 +261,7 @@
     }
     service_call sent = state->call;
     sent.movable = movable;
+    sent.document_version = *admitted_by;
     sent.request.fresh_connection = fresh_connection;
     send(attempt->target, std::move(sent), attempt->budget, attempt->cancel,
          [self = shared_from_this(), state, attempt](call_result result) {
@@ -307,6 +333,10 @@
     if (result.reason == reason_code::caller_gone || options_.now() >= state->call.deadline) {
         return false;
     }
+    // Another node has a newer document, in which the key of the call is no longer listed.
+    if (result.outcome == call_outcome::not_run && result.reason == reason_code::unknown_api_key) {
+        return false;
+    }
     // An attempt that was refused before it reached an upstream adds no load there: moving the call
     // to another member is still one upstream request, so it takes nothing from the budget of the
     // service; finish_attempt() has given its part of the call tree's budget back.
--- a/lib/node/dispatcher_core.h
+++ b/lib/node/dispatcher_core.h
@@ -60,6 +60,7 @@
     /// Passes the result to the caller. For routed calls, logs the result and the attempts behind
     /// it.
     void complete(const call_state& state, call_result result);
+    std::optional<std::uint64_t> admitting_version(const service_call& call) const;
     bool start_attempt(const call_state& state);
     void finish_attempt(const call_state& state, const attempt_state& attempt, call_result result);
     bool may_be_settled(const dispatched_call& state, const dispatched_attempt& attempt) const;
--- a/lib/node/executor.cpp
+++ b/lib/node/executor.cpp
@@ -1,6 +1,7 @@
 #include "chestnutstand/node/executor.h"
 
 #include "routed_call.h"
+#include "tenant_admission.h"
 
 #include "chestnutstand/admission/reported_load.h"
 #include "chestnutstand/node/upstream_exchange.h"
@@ -126,6 +127,7 @@
         return;
     }
     applied_ = current;
+    keys_unchecked_ = true;
     applied_service_ = upstream_->service;
     const auto* service = current->find_service(upstream_->service);
     prober_.set_rate(service != nullptr ? service->probe_budget_per_s : 0.0, now);
@@ -164,6 +166,9 @@
     if (!queue_) {
         return reason_code::no_configuration;
     }
+    if (!admits_tenant(*applied_, call)) {
+        return reason_code::unknown_api_key;
+    }
     if (call.deadline <= now) {
         return reason_code::deadline_exceeded;
     }
@@ -301,6 +306,12 @@
     }
     queue_->finish(execution->id, {}, now);
     executions_.erase(execution->id);
+    if (!admits_tenant(*applied_, execution->call)) {
+        discard_attempt(*execution);
+        deferred.refusals.push_back({execution->done, execution->key, reason_code::unknown_api_key,
+                                     report_locked(), execution->call.request_id});
+        return;
+    }
     // key_fenced refers to the request id here: a routed call has no idempotency key.
     if (is_routed(execution->call)) {
         deferred.refusals.push_back({execution->done, execution->key, reason_code::key_fenced,
@@ -308,11 +319,14 @@
     }
 }
 
-// The last check before a call is sent to the upstream. It runs in the critical section that marks
-// the call as started; a started call can no longer be refused. The fencing of a key has already
-// completed the call, the fencing of a request id has not.
+// The last checks before a call is sent to the upstream. They run in the critical section that
+// marks the call as started; a started call can no longer be refused. The fencing of a key has
+// already completed the call, the fencing of a request id has not.
 bool executor::try_mark_started(call_execution& execution)
 {
+    if (!admits_tenant(*applied_, execution.call)) {
+        return false;
+    }
     if (execution.key && !keys_.start(*execution.key)) {
         return false;
     }
@@ -476,6 +490,7 @@
     {
         const std::lock_guard lock{mutex_};
         apply_configuration(now);
+        refuse_removed_keys(deferred);
         update_queue_slowdown(now);
         apply_queue_decisions(now, deferred);
         const bool probes = upstream_ && !draining_ && !statement_.rate_limit();
--- a/lib/node/executor_drain.cpp
+++ b/lib/node/executor_drain.cpp
@@ -1,8 +1,12 @@
-// Refusals of an executor whose node or upstream ends.
+// Refusals of an executor whose node or upstream ends, and of queued calls whose API key was
+// removed.
+
+#include "tenant_admission.h"
 
 #include "chestnutstand/node/executor.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace chestnutstand {
 namespace {
@@ -50,6 +54,16 @@
     refuse_queued_if([](const call_execution& /*queued*/) { return true; }, reason, deferred);
 }
 
+void executor::refuse_removed_keys(deferred_actions& deferred)
+{
+    if (!queue_ || !std::exchange(keys_unchecked_, false)) {
+        return;
+    }
+    refuse_queued_if(
+        [this](const call_execution& queued) { return !admits_tenant(*applied_, queued.call); },
+        reason_code::unknown_api_key, deferred);
+}
+
 /// Refuses the queued calls whose responses would come after the node has ended, as another node
 /// may still run them.
 void executor::refuse_unfinishable(time_point now, deferred_actions& deferred)
