Keep API keys out of errors of the document parser

An error quoted the list or text that it found and the text near a JSON syntax error, and nodes log these errors. It now shows lists and objects as such, no text found in place of one, and no text of a syntax error.

--- a/lib/config/json_text.cpp
+++ b/lib/config/json_text.cpp
@@ -100,11 +100,26 @@
     absl::Status status_;
 };
 
-/// Strips the error code in brackets from a message of the JSON library.
-std::string_view without_code(std::string_view message)
+/// Strips from a message of the JSON library the error code in brackets and the text that was read
+/// last, which may be a secret.
+std::string_view without_code_and_text(std::string_view message)
 {
     const auto end = message.find("] ");
-    return end == std::string_view::npos ? message : message.substr(end + 2);
+    message.remove_prefix(end == std::string_view::npos ? 0 : end + 2);
+    return message.substr(0, message.find("; last read: "));
+}
+
+/// Returns a value as an error shows it. The content of a list or an object may be a secret.
+std::string quoted(const json& value)
+{
+    if (!value.empty() && value.is_structured()) {
+        return value.is_array() ? "a list" : "an object";
+    }
+    std::string text = value.dump(-1, ' ', false, json::error_handler_t::replace);
+    if (text.size() > max_quoted_bytes) {
+        text = str_cat(text.substr(0, max_quoted_bytes), "...");
+    }
+    return text;
 }
 
 } // namespace
@@ -129,11 +144,14 @@
 
 absl::Status invalid_value(const json_location& at, std::string_view expected, const json& found)
 {
-    std::string text = found.dump(-1, ' ', false, json::error_handler_t::replace);
-    if (text.size() > max_quoted_bytes) {
-        text = str_cat(text.substr(0, max_quoted_bytes), "...");
-    }
-    return invalid_value(at, str_cat("expected ", expected, ", found ", text));
+    return invalid_value(at, str_cat("expected ", expected, ", found ", quoted(found)));
+}
+
+absl::Status invalid_container(const json_location& at, std::string_view expected,
+                               const json& found)
+{
+    return found.is_string() ? invalid_value(at, str_cat("expected ", expected, ", found a text"))
+                             : invalid_value(at, expected, found);
 }
 
 absl::StatusOr<json> parse_json(std::string_view text, std::string_view source)
@@ -153,7 +171,7 @@
         return value;
     }
     catch (const json::exception& error) {
-        return invalid_value(root, str_cat("expected JSON, ", without_code(error.what())));
+        return invalid_value(root, str_cat("expected JSON, ", without_code_and_text(error.what())));
     }
 }
 
--- a/lib/config/json_text.h
+++ b/lib/config/json_text.h
@@ -34,6 +34,11 @@
                            const nlohmann::json& found);
 absl::Status invalid_value(const json_location& at, std::string_view problem);
 
+/// Like invalid_value() where a list or an object is expected. Does not show a text found there,
+/// which may be a secret that belongs into the list.
+absl::Status invalid_container(const json_location& at, std::string_view expected,
+                               const nlohmann::json& found);
+
 /// Parses JSON with comments. Duplicate keys of an object are an error; source names the file or
 /// section in errors.
 absl::StatusOr<nlohmann::json> parse_json(std::string_view text, std::string_view source);
--- a/lib/config/schema.h
+++ b/lib/config/schema.h
@@ -171,7 +171,8 @@
                                          T& out) {
         const auto size = static_cast<double>(value.size());
         if (!value.is_array() || size < length.lowest || size > length.highest) {
-            return invalid_value(at, str_cat("a list of ", range_text(length), " texts"), value);
+            return invalid_container(at, str_cat("a list of ", range_text(length), " texts"),
+                                     value);
         }
         std::vector<std::string> texts;
         for (std::size_t i = 0; i < value.size(); ++i) {
@@ -255,7 +256,7 @@
                          const json_location& at, T& out)
 {
     if (!value.is_object()) {
-        return invalid_value(at, "an object", value);
+        return invalid_container(at, "an object", value);
     }
     std::size_t keys_found = 0;
     for (const auto& rule : keys) {
@@ -335,7 +336,8 @@
                                             T& out) {
         const auto size = static_cast<double>(value.size());
         if (!value.is_array() || size < length.lowest || size > length.highest) {
-            return invalid_value(at, str_cat("a list of ", range_text(length), " objects"), value);
+            return invalid_container(at, str_cat("a list of ", range_text(length), " objects"),
+                                     value);
         }
         (out.*member).clear();
         for (std::size_t i = 0; i < value.size(); ++i) {
--- a/unittests/config/document_test.cpp
+++ b/unittests/config/document_test.cpp
@@ -166,6 +166,34 @@
     EXPECT_EQ(archive.priorities.front().name, "rank-4/200");
 }
 
+// Guards against an API key in an error, which nodes log, when a record is malformed around it.
+TEST(record, errors_do_not_show_keys)
+{
+    const std::string secret = "crane-key";
+    const std::string listed = R"(["crane-key"])";
+    const std::string text{tenant_record};
+    const auto position = text.find(listed);
+    ASSERT_NE(position, std::string::npos);
+    for (const char* const malformed :
+         {R"("crane-key")", R"({"a": "crane-key"})", R"(["crane-key" "b"])", R"(["crane-key)",
+          R"([["crane-key"]])", R"(["crane-key"])", R"(["crane-key"], "keys": "crane-key")",
+          R"(["crane-key"], "rank": ["crane-key"])", R"("crane-key)", R"(crane-key)",
+          R"(["crane-key"]], "x": [)"}) {
+        const std::string error =
+            error_of(std::string{text}.replace(position, listed.size(), malformed));
+        EXPECT_NE(error, "") << malformed;
+        EXPECT_EQ(error.find(secret), std::string::npos) << error;
+    }
+    EXPECT_EQ(error_of(R"([{"keys": ["crane-key"]}])").find(secret), std::string::npos);
+    EXPECT_EQ(error_of(R"({"version": 1, "services": [], "routes": [], "tenants": ["crane-key"]})")
+                  .find(secret),
+              std::string::npos);
+    EXPECT_EQ(error_of(R"({"version": 1, "services": [], "routes": [],
+                           "tenants": {"keys": ["crane-key"]}})")
+                  .find(secret),
+              std::string::npos);
+}
+
 // Guards against a split that does not follow the weights of its targets.
 TEST(record, splits_by_weight)
 {
