--- a/lib/node/executor.cpp
+++ b/lib/node/executor.cpp
@@ -121,6 +121,7 @@
         return;
     }
     applied_ = current;
+    keys_unchecked_ = true;
     applied_service_ = upstream_->service;
     const auto* service = current->find_service(upstream_->service);
     prober_.set_rate(service != nullptr ? service->probe_budget_per_s : 0.0, now);
@@ -341,6 +342,7 @@
         const std::lock_guard lock{mutex_};
         apply_configuration(now);
         apply_cold_limit(now);
+        refuse_removed_keys(deferred);
         update_queue_slowdown(now);
         apply_queue_decisions(now, deferred);
         const bool probes = upstream_ && !draining_ && !statement_.rate_limit();
