Handle pipelined requests of idempotent routes concurrently

Cause: the server handled the requests of one connection one at a time, so that a client that pipelines waited for the sum of the service times.

Change: response_pipeline keeps the order of the responses of a connection. http_server_options::may_overtake decides which requests are handled while others ahead of them are; the ingress answers from the route, and all other requests wait until the responses ahead have been written. When the connection is to be closed, requests that were begun are answered first and only the last response has Connection: close. A client that reads ahead too far is no longer cut off before the responses to its begun requests.

--- a/include/chestnutstand/node/ingress.h
+++ b/include/chestnutstand/node/ingress.h
@@ -36,6 +36,10 @@
     /// Handles one request and sends exactly one response to the responder.
     void handle(const http_request& request, const std::shared_ptr<responder>& response);
 
+    /// Whether the request may be handled while others ahead of it on its connection are: only
+    /// where its route allows it to run more than once.
+    bool may_overtake(const http_request& request) const;
+
     /// Returns the response to a request that the HTTP server itself refuses.
     http_response refuse_unreadable(const request_refusal& error);
 
--- a/include/chestnutstand/transport/http_server.h
+++ b/include/chestnutstand/transport/http_server.h
@@ -47,6 +47,14 @@
     milliseconds idle_timeout{300'000};
 };
 
+/// Limits of the requests of one connection that are in progress at once.
+struct pipeline_limits {
+    std::size_t max_requests = 16;
+    /// No further request is begun while the requests in progress and the responses that wait for
+    /// their turn hold this many bytes.
+    std::size_t max_bytes = std::size_t{1} << 20U;
+};
+
 struct http_server_options : http_server_limits {
     std::string address = "127.0.0.1";
     /// 0 lets the kernel assign a port.
@@ -54,12 +62,20 @@
     std::uint32_t threads = 1;
     /// Returns limits that replace the fixed ones for a new request; called on any thread.
     std::function<http_server_limits()> current_limits;
+    /// Limits of the requests of one connection that are handled at once; they apply only where
+    /// may_overtake is set.
+    pipeline_limits pipeline;
+    /// Whether a request may be handled while requests ahead of it on its connection are; called on
+    /// any thread. It must not hold for a request that may not run twice: when a connection breaks,
+    /// clients send all requests without a response again. Unset for none.
+    std::function<bool(const http_request&)> may_overtake;
     /// Builds the response to a request that the server refuses; a plain text response by default.
     std::function<http_response(const request_refusal&)> make_refusal_response;
 };
 
-/// HTTP/1.1 server. Requests on one connection are handled one at a time; a malformed request is
-/// refused and the connection closed. Only the thread that owns a connection writes to it, so that
+/// HTTP/1.1 server. Requests on one connection are handled one at a time, except those that may
+/// overtake; responses are in the order of the requests. A malformed request is refused and the
+/// connection closed. Only the thread that owns a connection writes to it, so that
 /// a response cannot reach a later connection with the same descriptor.
 class http_server {
 public:
--- a/lib/node/components/ingress_component.cpp
+++ b/lib/node/components/ingress_component.cpp
@@ -35,6 +35,9 @@
         options.port = address.port;
         options.threads = config.http_threads;
         options.current_limits = [&node] { return limits_of(node); };
+        options.may_overtake = [this](const http_request& request) {
+            return ingress_->may_overtake(request);
+        };
         options.make_refusal_response = [this](const request_refusal& error) {
             return ingress_->refuse_unreadable(error);
         };
--- a/lib/node/ingress.cpp
+++ b/lib/node/ingress.cpp
@@ -106,6 +106,17 @@
     handle_call(request, opened);
 }
 
+bool ingress::may_overtake(const http_request& request) const
+{
+    const auto in_force = in_force_.load();
+    if (options_.interface_for_callers != caller_interface::routes || in_force == nullptr) {
+        return false;
+    }
+    const route* matched =
+        in_force->find_route(find_header(request.headers, "host").value_or(""), request.target);
+    return matched != nullptr && matched->idempotent();
+}
+
 ingress::request_ptr ingress::open(const http_request& request,
                                    const std::shared_ptr<responder>& response)
 {
--- a/lib/transport/http_connection.h
+++ b/lib/transport/http_connection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "request_framer.h"
+#include "response_pipeline.h"
 
 #include "chestnutstand/support/clock.h"
 #include "chestnutstand/transport/http_server.h"
@@ -51,10 +52,8 @@
 /// Accepts the response to one request, for any thread.
 class response_slot final : public responder, public std::enable_shared_from_this<response_slot> {
 public:
-    response_slot(std::shared_ptr<response_queue> queue, std::size_t connection, bool head_only,
-                  bool keep_alive)
-        : queue_{std::move(queue)}, connection_{connection}, head_only_{head_only}, keep_alive_{
-                                                                                        keep_alive}
+    response_slot(std::shared_ptr<response_queue> queue, std::size_t connection)
+        : queue_{std::move(queue)}, connection_{connection}
     {
     }
 
@@ -68,15 +67,15 @@
     std::shared_ptr<cancellation> disconnected() const override { return disconnected_; }
 
     std::size_t connection() const { return connection_; }
-    bool head_only() const { return head_only_; }
-    bool keep_alive() const { return keep_alive_; }
+    response_pipeline::ticket ticket() const { return ticket_; }
+    void set_ticket(response_pipeline::ticket id) { ticket_ = id; }
 
 private:
     std::shared_ptr<response_queue> queue_;
     /// Connection id; unlike a descriptor it is never reused.
     std::size_t connection_;
-    bool head_only_;
-    bool keep_alive_;
+    /// Set before the request is passed to the handler.
+    response_pipeline::ticket ticket_ = 0;
     std::atomic<bool> sent_ = false;
     std::shared_ptr<cancellation> disconnected_ = std::make_shared<cancellation>();
 };
--- a/lib/transport/server_transport.cpp
+++ b/lib/transport/server_transport.cpp
@@ -84,8 +84,8 @@
         check_deadlines();
     }
     for (auto entries = queue_->take_all(); !entries.empty(); entries = queue_->take_all()) {
-        for (const auto& entry : entries) {
-            send_response(entry);
+        for (auto& entry : entries) {
+            send_response(std::move(entry));
         }
     }
     close_pending();
@@ -96,7 +96,9 @@
 
 void server_transport::open(const peer_ptr& peer)
 {
-    const auto added = connections_.try_emplace(peer->getID(), peer, shared_->limits()).first;
+    const auto added =
+        connections_.try_emplace(peer->getID(), peer, shared_->limits(), shared_->options.pipeline)
+            .first;
     ++shared_->open_connections;
     arm_timer(*added->second.deadline);
 }
@@ -107,21 +109,22 @@
     if (found == connections_.end()) {
         return;
     }
-    const auto abandoned = std::move(found->second.slot);
+    const auto abandoned = found->second.pipeline.abandon();
     found->second.writing = false;
     update_busy(found->second);
     blocked_writes_.erase(peer->fd());
     connections_.erase(found);
     --shared_->open_connections;
-    if (abandoned) {
-        abandoned->disconnected()->cancel();
+    for (const auto& request : abandoned) {
+        request->cancel();
     }
 }
 
 void server_transport::receive(std::string_view bytes, const peer_ptr& peer)
 {
     const auto found = connections_.find(peer->getID());
-    if (found == connections_.end() || found->second.closing) {
+    if (found == connections_.end() || found->second.closing ||
+        !found->second.pipeline.accepting()) {
         return;
     }
     connection& client = found->second;
@@ -130,49 +133,75 @@
         client.framer.set_limits(client.limits.max_header_bytes, client.limits.max_body_bytes);
     }
     client.framer.add(bytes);
-    if (client.slot &&
+    process_input(client);
+    if (!client.pipeline.empty() &&
         client.framer.buffered() > client.limits.max_header_bytes + client.limits.max_body_bytes) {
         // The client has pipelined more than one request of the largest size.
-        client.broken = true;
-        pending_close_.push_back(peer->getID());
-        return;
+        stop_accepting(client);
     }
-    process_input(client);
 }
 
-/// Handles the next buffered request, or waits for the client when none is complete. Does nothing
-/// while a request is handled or a response is written.
+/// Handles the buffered requests that may be handled now, or waits for the client when no request
+/// is in progress.
 void server_transport::process_input(connection& client)
 {
-    if (client.slot || client.writing || client.closing || client.broken) {
-        return;
+    while (!client.closing && !client.broken && handle_next_request(client)) {
     }
-    if (!handle_next_request(client)) {
+    if (!client.writing && !client.closing && !client.broken && client.pipeline.empty()) {
         wait_for_client(client);
     }
 }
 
-/// Returns whether a request was passed to the handler or refused.
 bool server_transport::handle_next_request(connection& client)
 {
-    auto next = client.framer.next();
-    if (const auto* refused = std::get_if<request_refusal>(&next)) {
-        refuse(client, *refused);
-        return true;
+    if (!client.pipeline.accepting()) {
+        return false;
     }
-    auto* complete = std::get_if<framed_request>(&next);
-    if (complete == nullptr) {
+    if (!client.next) {
+        auto next = client.framer.next();
+        if (const auto* refused = std::get_if<request_refusal>(&next)) {
+            refuse(client, *refused);
+            return false;
+        }
+        auto* complete = std::get_if<framed_request>(&next);
+        if (complete == nullptr) {
+            return false;
+        }
+        client.next = std::move(*complete);
+    }
+    if (!client.pipeline.may_begin(may_overtake(client, client.next->request))) {
         return false;
     }
-    client.deadline.reset();
+    framed_request request = *std::exchange(client.next, std::nullopt);
+    if (!client.writing) {
+        client.deadline.reset();
+    }
     client.in_request = false;
-    client.slot = std::make_shared<response_slot>(
-        queue_, client.peer->getID(), complete->request.method == "HEAD", complete->keep_alive);
+    const auto slot = std::make_shared<response_slot>(queue_, client.peer->getID());
+    slot->set_ticket(
+        client.pipeline.begin({size_of(request.request), request.request.method == "HEAD",
+                               request.keep_alive, slot->disconnected()}));
+    if (!request.keep_alive) {
+        stop_accepting(client);
+    }
     update_busy(client);
-    shared_->handle(std::move(complete->request), client.slot);
+    shared_->handle(std::move(request.request), slot);
     return true;
 }
 
+bool server_transport::may_overtake(const connection& client, const http_request& request) const
+{
+    const auto& predicate = shared_->options.may_overtake;
+    return !client.pipeline.empty() && predicate && request.body.empty() && predicate(request);
+}
+
+void server_transport::stop_accepting(connection& client)
+{
+    client.pipeline.stop_accepting();
+    client.next.reset();
+    client.framer.discard();
+}
+
 void server_transport::wait_for_client(connection& client)
 {
     if (client.framer.consume_expect_continue()) {
@@ -193,26 +222,53 @@
     const auto& make_response = shared_->options.make_refusal_response;
     const http_response response =
         make_response ? make_response(refusal) : plain_text_refusal(refusal);
-    client.closing = true;
-    client.framer.discard();
-    write(client, serialize(response, false, true));
+    client.pipeline.refuse(response);
+    stop_accepting(client);
+    write_next_response(client);
 }
 
-void server_transport::send_response(const response_queue::entry& entry)
+void server_transport::send_response(response_queue::entry entry)
 {
     const auto found = connections_.find(entry.slot->connection());
-    if (found == connections_.end() || found->second.slot != entry.slot) {
+    if (found == connections_.end()) {
         return;
     }
     connection& client = found->second;
-    client.slot.reset();
-    client.closing = !entry.slot->keep_alive() || has_connection_close(entry.response);
-    write(client, serialize(entry.response, entry.slot->head_only(), client.closing));
+    if (!client.pipeline.complete(entry.slot->ticket(), std::move(entry.response))) {
+        return;
+    }
+    if (!client.pipeline.accepting()) {
+        stop_accepting(client);
+    }
+    write_next_response(client);
+}
+
+void server_transport::write_next_response(connection& client)
+{
+    if (client.writing || client.closing || client.broken) {
+        return;
+    }
+    if (auto ready = client.pipeline.take_ready()) {
+        client.closing = ready->closes;
+        write(client, serialize(ready->response, ready->head_only, ready->closes));
+    }
+    else if (client.pipeline.empty() && !client.pipeline.accepting()) {
+        // The last response was already being written when the server decided to accept no more.
+        client.closing = true;
+        close_after_write(client);
+    }
+}
+
+void server_transport::close_after_write(connection& client)
+{
+    ::shutdown(client.peer->fd(), SHUT_WR);
+    client.deadline = ms_clock::now() + linger_timeout;
+    arm_timer(*client.deadline);
 }
 
 void server_transport::update_busy(connection& client)
 {
-    const bool busy = client.slot || client.writing;
+    const bool busy = !client.pipeline.empty() || client.writing;
     if (busy == client.counted_busy) {
         return;
     }
@@ -292,20 +348,21 @@
 {
     client.writing = false;
     client.output = {};
-    update_busy(client);
+    client.pipeline.written();
     client.broken = client.broken || !complete;
     if (client.broken) {
         pending_close_.push_back(client.peer->getID());
-        return;
     }
-    if (client.closing) {
-        ::shutdown(client.peer->fd(), SHUT_WR);
-        client.deadline = ms_clock::now() + linger_timeout;
-        arm_timer(*client.deadline);
-        return;
+    else if (client.closing) {
+        close_after_write(client);
     }
-    client.deadline.reset();
-    process_input(client);
+    else {
+        client.deadline.reset();
+        write_next_response(client);
+        process_input(client);
+    }
+    // Only now, so that the connection does not seem idle before its next request is handled.
+    update_busy(client);
 }
 
 void server_transport::check_deadlines()
--- a/lib/transport/server_transport.h
+++ b/lib/transport/server_transport.h
@@ -25,10 +25,10 @@
 
 /// State of one client connection; accessed only by the thread that owns the connection.
 struct connection {
-    connection(peer_ptr client, const http_server_limits& current)
+    connection(peer_ptr client, const http_server_limits& current, const pipeline_limits& ahead)
         : peer{std::move(client)}, limits{current}, framer{current.max_header_bytes,
                                                            current.max_body_bytes},
-          deadline{ms_clock::now() + current.idle_timeout}
+          pipeline{ahead}, deadline{ms_clock::now() + current.idle_timeout}
     {
     }
 
@@ -36,9 +36,12 @@
     /// Limits for the current request, read when it began.
     http_server_limits limits;
     request_framer framer;
-    /// Set while the handler processes a request.
-    std::shared_ptr<response_slot> slot;
-    /// When the server stops waiting for the client; unset while the handler processes a request.
+    /// Complete request that waits for the requests ahead of it.
+    std::optional<framed_request> next;
+    /// Requests that were passed to the handler and responses that are not written.
+    response_pipeline pipeline;
+    /// When the server stops waiting for the client; unset while the handler processes a request
+    /// and no response is being written.
     std::optional<time_point> deadline;
     /// Whether a part of an incomplete request has arrived.
     bool in_request = false;
@@ -61,7 +64,7 @@
     std::mutex mutex;
     std::vector<std::shared_ptr<response_queue>> queues;
     std::atomic<std::uint32_t> open_connections = 0;
-    /// Connections whose request is being handled or whose response is being written.
+    /// Connections with a request that is being handled or a response that is not written.
     std::atomic<std::uint32_t> busy_connections = 0;
 
     http_server_limits limits() const
@@ -125,9 +128,17 @@
 
 private:
     void process_input(connection& client);
+    /// Returns whether a request was passed to the handler.
     bool handle_next_request(connection& client);
+    /// Whether the request may be handled while others ahead of it are.
+    bool may_overtake(const connection& client, const http_request& request) const;
+    /// Accepts no more requests and drops what has arrived of them.
+    void stop_accepting(connection& client);
+    /// Writes the next response, or ends the connection after the last one.
+    void write_next_response(connection& client);
+    void close_after_write(connection& client);
     void refuse(connection& client, const request_refusal& refusal);
-    void send_response(const response_queue::entry& entry);
+    void send_response(response_queue::entry entry);
     void write(connection& client, std::string bytes);
     /// Sends what the connection takes now; the rest follows when it is ready for more.
     void continue_write(connection& client);
@@ -135,7 +146,7 @@
     /// Continues the writes of the ready connections. Returns the other events.
     Pistache::Aio::FdSet handle_writable(const Pistache::Aio::FdSet& ready);
     void wait_for_client(connection& client);
-    /// Updates the count of busy connections after a change of the connection's slot or output.
+    /// Updates the count of busy connections after a change of the connection's requests or output.
     void update_busy(connection& client);
     void check_deadlines();
     void handle_timeout(connection& client);
