Test that uploads are handled as not idempotent

An upload runs at most once and never overtakes requests ahead of it on its connection. The kind is read in route::idempotent() only, so no change of the product was needed.

--- a/unittests/node/routed_call_test.cpp
+++ b/unittests/node/routed_call_test.cpp
@@ -1,10 +1,14 @@
+#include "dispatcher_fixture.h"
+
 #include "chestnutstand/config/document_parser.h"
 #include "chestnutstand/node/call_parser.h"
+#include "chestnutstand/node/ingress.h"
 #include "chestnutstand/node/problem.h"
 #include "chestnutstand/node/upstream_exchange.h"
 
 #include <gtest/gtest.h>
 
+#include <memory>
 #include <string>
 #include <utility>
 #include <variant>
@@ -18,7 +22,9 @@
         {"name": "view", "host": "shop.example", "path_prefix": "/view/", "service": "ledger",
          "kind": "idempotent", "timeout_ms": 800, "attempts": 3, "rank": 1},
         {"name": "pay", "host": "shop.example", "path_prefix": "/pay/", "service": "ledger",
-         "timeout_ms": 1000}]})",
+         "timeout_ms": 1000},
+        {"name": "file", "host": "shop.example", "path_prefix": "/file/", "service": "ledger",
+         "kind": "upload", "timeout_ms": 1000, "attempts": 3}]})",
                                      "record");
     EXPECT_TRUE(parsed.ok()) << parsed.status();
     return *parsed;
@@ -93,6 +99,37 @@
     EXPECT_EQ(refused("/pay/", {{"Deadline-Ms", "soon"}}), reason_code::malformed_deadline);
 }
 
+// Guards against an upload that runs twice, or that is begun behind a response which may close the
+// connection.
+TEST_F(routed_call, upload_is_handled_as_not_idempotent)
+{
+    const service_call file = parsed("/file/1");
+    EXPECT_EQ(file.repeat, repeatability::at_most_once);
+    EXPECT_EQ(file.request.body, "body");
+    EXPECT_FALSE(document_.routes.at(2).idempotent());
+
+    snapshot<document> in_force;
+    metrics stats;
+    snapshot<routing_table> members;
+    testing::NiceMock<mock_peer_client> peers;
+    dispatcher dispatch{peers, nullptr, members, in_force, stats, {}};
+    ingress_options options;
+    options.interface_for_callers = caller_interface::routes;
+    const ingress entry{options, in_force, dispatch, nullptr, stats};
+    const auto may_overtake = [&](const std::string& target) {
+        return entry.may_overtake({"GET", target, {{"Host", "shop.example"}}, ""});
+    };
+    EXPECT_FALSE(may_overtake("/view/1"));
+    in_force.store(std::make_shared<document>(document_));
+    EXPECT_TRUE(may_overtake("/view/1"));
+    EXPECT_FALSE(may_overtake("/pay/1"));
+    EXPECT_FALSE(may_overtake("/file/1"));
+    EXPECT_FALSE(may_overtake("/unknown/1"));
+    options.interface_for_callers = caller_interface::calls;
+    const ingress calls{options, in_force, dispatch, nullptr, stats};
+    EXPECT_FALSE(calls.may_overtake({"GET", "/view/1", {{"Host", "shop.example"}}, ""}));
+}
+
 // Guards against dropping headers of the caller, and against forwarding headers of the caller that
 // only the system may set.
 TEST_F(routed_call, forwards_all_headers_except_those_the_system_sets)
