--- a/unittests/platform/store_client_test.cpp
+++ b/unittests/platform/store_client_test.cpp
@@ -2,9 +2,13 @@
 
 #include "store_codec.h"
 
+#include "../transport/fake_server.h"
+#include "../transport/invalid_status.h"
+
 #include <gtest/gtest.h>
 
 #include <deque>
+#include <future>
 #include <string>
 #include <utility>
 #include <vector>
@@ -98,5 +102,31 @@
     EXPECT_EQ(values, std::vector<std::string>{"2"});
 }
 
+/// Whether a listing is taken from a response with that status.
+bool takes_listing_with_status(const std::string& status)
+{
+    const std::string response = chestnutstand::testing::response_with_status(
+        status, R"({"items": [], "EndOffset": 4, "HasMore": false})");
+    chestnutstand::testing::fake_server server{
+        [&](chestnutstand::testing::raw_socket& connection, int, int) {
+            connection.send(response);
+            return false;
+        }};
+    const auto http = make_http_client();
+    store_client store{*http, server.url()};
+    std::promise<bool> taken;
+    store.newest(store_topic::document, [&](const auto& page) { taken.set_value(page.ok()); });
+    return taken.get_future().get();
+}
+
+// Guards against a document that is taken from a response without a valid status.
+TEST(store_client, refuses_an_invalid_status)
+{
+    for (const std::string& status : chestnutstand::testing::invalid_statuses) {
+        EXPECT_FALSE(takes_listing_with_status(status)) << status;
+    }
+    EXPECT_TRUE(takes_listing_with_status("200"));
+}
+
 } // namespace
 } // namespace chestnutstand::platform
