Count abandoned requests that the upstream may still hold

Cause: a cancelled or timed-out call gave its slot back at once, and another one took its place, also where the upstream still held the first. A full upstream that does not answer got more and more requests.

Change: abandoned_requests counts routed calls and probes that were cancelled or timed out, until the upstream reports that it holds no more than the calls in progress or a bounded time has passed. Running and abandoned requests together stay within twice the usable slots.

--- a/include/chestnutstand/admission/admission_queue.h
+++ b/include/chestnutstand/admission/admission_queue.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "chestnutstand/admission/abandoned_requests.h"
 #include "chestnutstand/admission/class_queue.h"
 #include "chestnutstand/admission/concurrency_limit.h"
 #include "chestnutstand/admission/decaying_mean.h"
@@ -87,6 +88,10 @@
     /// deadline by waiting longer.
     void set_slowdown(double factor) { slowdown_ = factor; }
 
+    /// Sets the number of requests that this node has abandoned and that the upstream may still
+    /// hold; see held_requests_per_slot.
+    void set_abandoned(std::uint32_t count) { abandoned_ = count; }
+
     /// Sets the requests per second that the upstream takes; nullopt for no limit.
     void set_rate_limit(std::optional<double> per_second, time_point now)
     {
@@ -177,6 +182,7 @@
     decaying_mean service_time_;
     rate_limit rate_limit_;
     double slowdown_ = 1.0;
+    std::uint32_t abandoned_ = 0;
     bool draining_ = false;
 };
 
--- a/include/chestnutstand/node/executor.h
+++ b/include/chestnutstand/node/executor.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "chestnutstand/admission/abandoned_requests.h"
 #include "chestnutstand/admission/admission_queue.h"
 #include "chestnutstand/admission/load_prober.h"
 #include "chestnutstand/admission/upstream_slowdown.h"
@@ -179,6 +180,15 @@
     void log_execution(const call_execution& execution, const call_result& result,
                        time_point now) const;
     static void log_refusal(const refused_call& refused);
+    /// What the end of a request says about the requests that the upstream holds.
+    struct request_end {
+        bool abandoned = false;
+        /// Requests that the upstream runs and queues, if it says so.
+        std::optional<std::uint32_t> held;
+    };
+    request_end end_of(const http_result& result) const;
+    /// Counts a routed call that was abandoned; the mutex must be held.
+    void track_abandoned(const service_call& call, const request_end& end, time_point now);
     void observe_slowdown(const http_result& result, time_point now);
     /// Observes what a response of an upstream process says about that process.
     void observe_upstream_state(const local_upstream& sender, const http_response& response);
@@ -215,6 +225,7 @@
     std::unordered_map<std::uint64_t, call_execution_ptr> executions_;
     std::uint64_t last_id_ = 0;
     attempt_ledger attempts_;
+    abandoned_requests abandoned_;
     upstream_slowdown slowdown_;
     /// What the upstream process has said of itself.
     upstream_statement statement_;
--- a/lib/node/executor.cpp
+++ b/lib/node/executor.cpp
@@ -93,6 +93,9 @@
         if (service_changed) {
             refuse_queued(reason_code::no_upstream, deferred);
         }
+        if (!upstream || !upstream_ || upstream->id != upstream_->id) {
+            abandoned_ = {};
+        }
         upstream_ = std::move(upstream);
         if (upstream_) {
             statement_.set_process(upstream_->id, upstream_->born_ms);
@@ -278,6 +281,7 @@
         refuse_queued(reason_code::no_upstream, deferred);
     }
     refuse_unfinishable(now, deferred);
+    queue_->set_abandoned(abandoned_.count(now));
     while (const auto decision = queue_->next(now)) {
         const auto found = executions_.find(decision->id);
         const auto execution = found->second;
@@ -430,6 +434,7 @@
 {
     const auto now = ms_clock::now();
     const auto sample = make_sample(upstream_result, names_);
+    const request_end end = end_of(upstream_result);
     observe_slowdown(upstream_result, now);
     if (is_response_of_upstream(execution->call, upstream_result, names_)) {
         observe_upstream_state(execution->upstream, upstream_result.response);
@@ -449,6 +454,7 @@
                              unknown_outcome(reason_code::key_table_full), now);
         }
         queue_->finish(execution->id, sample, now);
+        track_abandoned(execution->call, end, now);
         apply_queue_decisions(now, deferred);
         result.load = report_locked();
     }
--- a/lib/node/executor_slowdown.cpp
+++ b/lib/node/executor_slowdown.cpp
@@ -75,6 +75,9 @@
                      {
                          const std::lock_guard lock{mutex_};
                          slowdown_probe_running_ = false;
+                         if (end_of(result).abandoned) {
+                             abandoned_.add(now, milliseconds{0});
+                         }
                          waiting_calls.swap(waiting_for_slowdown_);
                          if (!slowdown_.has_fresh_report(milliseconds{0}, now)) {
                              slowdown_probes_paused_until_ = now + slowdown_probe_backoff;
--- a/unittests/node/executor_test.cpp
+++ b/unittests/node/executor_test.cpp
@@ -370,5 +370,44 @@
     EXPECT_EQ(executor_.settle_attempt({"2", queued_attempt::keep}).state, settle_state::unknown);
 }
 
+// Guards against an upstream that does not end abandoned calls and gets further ones in their place
+// until it can queue no more.
+TEST_F(executor_test, starts_no_calls_while_the_upstream_may_be_full_of_abandoned_ones)
+{
+    constexpr milliseconds usual_time{1'000};
+    constexpr milliseconds within_hold{500};
+    service_call routed;
+    routed.repeat = repeatability::repeatable;
+    bool in_time = false;
+    for (int process = 1; process < 100 && !in_time; ++process) {
+        // Another upstream process, which holds no abandoned calls.
+        executor_.set_upstream(
+            local_upstream{"ledger", "http://127.0.0.1:1", 2, std::to_string(process)});
+        execute(routed);
+        ASSERT_EQ(upstream_.pending.size(), 1U);
+        upstream_.complete(
+            upstream_.last_id,
+            {http_error::none,
+             {200, {{std::string{header::request_id}, std::to_string(last_call_)}}, ""},
+             usual_time});
+        const time_point start = ms_clock::now();
+        for (int i = 0; i < 4; ++i) {
+            routed.cancel = std::make_shared<cancellation>();
+            execute(routed);
+            ASSERT_EQ(upstream_.pending.size(), 1U) << i;
+            routed.cancel->cancel();
+        }
+        routed.cancel = nullptr;
+        execute(routed);
+        const bool sent = !upstream_.pending.empty();
+        in_time = ms_clock::now() - start < within_hold;
+        EXPECT_FALSE(in_time && sent);
+        executor_.set_upstream(local_upstream{"ledger", "http://127.0.0.1:1", 2, "next"});
+        ASSERT_EQ(upstream_.pending.size(), 1U);
+        upstream_.respond(upstream_.last_id, 200);
+    }
+    EXPECT_TRUE(in_time);
+}
+
 } // namespace
 } // namespace chestnutstand
