Review a record before it is sent

The exit status is 0 without findings, 1 with findings, 2 for wrong usage and 3 for a record that is not readable.

Errors of a record could show an API key: the value of a tenant that is not valid and the text that the JSON parser had read last. They no longer do.

The admin client is tested with invalid statuses; it refused them before.

--- a/lib/config/json_text.cpp
+++ b/lib/config/json_text.cpp
@@ -100,11 +100,18 @@
     absl::Status status_;
 };
 
-/// Strips the error code in brackets from a message of the JSON library.
-std::string_view without_code(std::string_view message)
+/// Strips the error code in brackets from a message of the JSON library, and the text that it has
+/// read last, which may be a part of an API key.
+std::string readable_error(std::string_view message)
 {
-    const auto end = message.find("] ");
-    return end == std::string_view::npos ? message : message.substr(end + 2);
+    const auto code_end = message.find("] ");
+    std::string text{code_end == std::string_view::npos ? message : message.substr(code_end + 2)};
+    const auto quoted = text.find("; last read: '");
+    const auto quote_end = text.rfind('\'');
+    if (quoted != std::string::npos && quote_end != std::string::npos) {
+        text.erase(quoted, quote_end + 1 - quoted);
+    }
+    return text;
 }
 
 } // namespace
@@ -130,6 +137,10 @@
 absl::Status invalid_value(const json_location& at, std::string_view expected, const json& found)
 {
     std::string text = found.dump(-1, ' ', false, json::error_handler_t::replace);
+    // Tenants have API keys, which errors and logs must not show.
+    if (at.path.rfind("tenants", 0) == 0 || text.find("\"keys\"") != std::string::npos) {
+        return invalid_value(at, str_cat("expected ", expected, ", found another value"));
+    }
     if (text.size() > max_quoted_bytes) {
         text = str_cat(text.substr(0, max_quoted_bytes), "...");
     }
@@ -153,7 +164,7 @@
         return value;
     }
     catch (const json::exception& error) {
-        return invalid_value(root, str_cat("expected JSON, ", without_code(error.what())));
+        return invalid_value(root, str_cat("expected JSON, ", readable_error(error.what())));
     }
 }
 
--- a/tests/integration/command_line_test.cpp
+++ b/tests/integration/command_line_test.cpp
@@ -1,3 +1,5 @@
+#include "../../unittests/transport/invalid_status.h"
+#include "../../unittests/transport/raw_socket.h"
 #include "../support/fleet.h"
 
 #include <gtest/gtest.h>
@@ -9,6 +11,7 @@
 #include <fstream>
 #include <string>
 #include <sys/wait.h>
+#include <thread>
 
 namespace chestnutstand::testing {
 namespace {
@@ -136,6 +139,64 @@
     EXPECT_EQ(run("check record " + valid).status, 3);
 }
 
+// Guards against scripts that send a record with a fault, and against keys of tenants in their
+// output.
+TEST_F(command_line, check_record_reports_findings_and_differences_without_keys)
+{
+    const auto in_force = write_file("in_force.json", R"({"version": 4, "services": [{"name": "s"}],
+        "routes": [{"name": "r", "host": "h", "service": "s"}],
+        "tenants": [{"name": "t", "keys": ["secret-1"]}]})");
+    const auto clean = write_file("clean.json", R"({"version": 5, "services": [{"name": "s"}],
+        "routes": [{"name": "r", "host": "h", "service": "s", "attempts": 2}],
+        "tenants": [{"name": "t", "keys": ["secret-1", "secret-2"]}]})");
+    const auto faulty = write_file("faulty.json", R"({"version": 5, "services": [{"name": "s"}],
+        "routes": [{"name": "r", "host": "h", "service": "s"}],
+        "tenants": [{"name": "t", "keys": ["secret-1"]}, {"name": "u", "keys": ["secret-1"]}]})");
+    const auto invalid = write_file("invalid.json", R"({"version": 5, "services": [{"name": "s"}],
+        "routes": [], "tenants": [{"name": "t", "keys": "secret-1"}]})");
+    const auto cut = write_file("cut.json", R"({"version": 5, "tenants": [{"keys": ["secret-1)");
+    const auto accepted = run("check record " + clean + " --against " + in_force);
+    EXPECT_EQ(accepted.status, 0);
+    EXPECT_NE(accepted.output.find("changed: route r (h/): attempts 1 -> 2"), std::string::npos);
+    EXPECT_NE(accepted.output.find("changed: tenant t: keys: 1 added, 0 removed"),
+              std::string::npos);
+    const auto found = run("check record " + faulty + " --json --against " + in_force);
+    EXPECT_EQ(found.status, 1);
+    EXPECT_NE(found.output.find("\"contradiction\""), std::string::npos);
+    EXPECT_EQ(run("check record " + in_force + " --against " + in_force).status, 1);
+    EXPECT_EQ(run("check record " + clean + " --nodes none").status, 2);
+    EXPECT_EQ(run("check settings " + clean + " --json").status, 2);
+    const auto refused = run("check record " + invalid);
+    EXPECT_EQ(refused.status, 3);
+    const auto unreadable = run("check record " + cut);
+    EXPECT_EQ(unreadable.status, 3);
+    EXPECT_EQ(run("check record " + (directory_ / "missing").string()).status, 3);
+    for (const auto& each : {accepted, found, refused, unreadable}) {
+        EXPECT_EQ(each.output.find("secret"), std::string::npos) << each.output;
+    }
+}
+
+// Guards against a status of a node that is taken from a response without a valid status.
+TEST_F(command_line, refuses_an_invalid_status_of_the_admin_port)
+{
+    const auto exit_status_for = [](const std::string& status) {
+        const auto listener = raw_socket::listen_on_loopback();
+        std::thread server{[&] {
+            const auto connection = listener.accept();
+            connection.receive_until_text("\r\n\r\n");
+            connection.send(response_with_status(status, "{}"));
+        }};
+        const auto result =
+            run("status --admin http://127.0.0.1:" + std::to_string(listener.port()));
+        server.join();
+        return result.status;
+    };
+    for (const std::string& status : invalid_statuses) {
+        EXPECT_EQ(exit_status_for(status), 1) << status;
+    }
+    EXPECT_EQ(exit_status_for("200"), 0);
+}
+
 // Guards against an unreachable node being reported as success or as a usage error.
 TEST_F(command_line, unreachable_node_exits_with_1)
 {
