--- a/lib/node/executor.cpp
+++ b/lib/node/executor.cpp
@@ -88,6 +88,9 @@
             refuse_queued(reason_code::no_upstream, deferred);
         }
         observe_new_process(upstream, now);
+        if (!upstream || !upstream_ || upstream->id != upstream_->id) {
+            abandoned_ = {};
+        }
         upstream_ = std::move(upstream);
         if (upstream_) {
             statement_.set_process(upstream_->id, upstream_->born_ms);
@@ -293,6 +296,7 @@
 {
     const auto now = ms_clock::now();
     const auto sample = make_sample(upstream_result, names_);
+    const request_end end = end_of(upstream_result);
     observe_slowdown(upstream_result, now);
     if (is_response_of_upstream(execution->call, upstream_result, names_)) {
         observe_upstream_state(execution->upstream, upstream_result.response);
@@ -314,6 +318,7 @@
                              unknown_outcome(reason_code::key_table_full), now);
         }
         queue_->finish(execution->id, sample, now);
+        track_abandoned(execution->call, end, now);
         apply_queue_decisions(now, deferred);
         result.load = report_locked();
     }
