--- a/lib/transport/headers.cpp
+++ b/lib/transport/headers.cpp
@@ -81,7 +81,7 @@
 
 void remove_reserved_headers(std::vector<http_header>& headers, const header_names& names)
 {
-    const std::array<std::string_view, 10> reserved{names.request_id,
+    const std::array<std::string_view, 11> reserved{names.request_id,
                                                     names.timeout_ms,
                                                     names.idempotency_key,
                                                     names.not_run,
