Read the era of the store and the evacuation records

The operator's topic has records evacuate/DATA_CENTRE beside the document, which the client of the store removed. The store numbers its histories in a header of every response; offsets of different histories are unrelated. keyed_page carries both. The stub store learns the header, evacuations and a rollback by its control endpoint.

--- a/include/chestnutstand/config/keyed_store.h
+++ b/include/chestnutstand/config/keyed_store.h
@@ -23,10 +23,22 @@
     std::uint64_t offset = 0;
 };
 
+/// Record of the operator that evacuates a data centre, or that revokes its evacuation.
+struct evacuation_record {
+    std::string data_centre;
+    bool evacuated = false;
+    std::uint64_t offset = 0;
+};
+
 struct keyed_page {
     std::vector<keyed_record> records;
     /// Offset that the next record of the topic will get.
     std::uint64_t next = 0;
+    /// Records of the topic of the document that evacuate data centres.
+    std::vector<evacuation_record> evacuations = {};
+    /// Era of the store. It grows each time the store comes back from an older copy of itself;
+    /// offsets of different eras are unrelated. 0 if the store does not name it.
+    std::uint64_t era = 0;
 };
 
 /// Client of a store that keeps the newest record of each key indefinitely and older records for a
--- a/tests/stub_store/stub_store.cpp
+++ b/tests/stub_store/stub_store.cpp
@@ -1,6 +1,9 @@
 // Stub of the platform's metadata store that implements its published protocol: keyed topics with
 // one partition. Keeps everything in memory. PUT /control/document writes the operator's record,
-// PUT /control/lose_reads leaves all waiting reads without a response, on open connections.
+// PUT /control/lose_reads leaves all waiting reads without a response, on open connections. PUT
+// /control/evacuate/DATA_CENTRE writes the operator's record of that name, without a value if the
+// body is empty. PUT /control/rollback?Records=N removes the last N records of each topic and
+// begins a new era.
 
 #include "../support/stub_main.h"
 
@@ -18,6 +21,8 @@
 #include <map>
 #include <mutex>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 using namespace chestnutstand;
@@ -65,7 +70,7 @@
         const std::string topic = parameter(request.target, "Topic");
         if (request.target.rfind("/-/log-append", 0) == 0) {
             append(topic, request.body);
-            response->send({200, {{"Content-Type", "application/json"}}, R"({"Offset":0})"});
+            respond(*response, {200, {{"Content-Type", "application/json"}}, R"({"Offset":0})"});
         }
         else if (request.target.rfind("/-/log-newest", 0) == 0) {
             newest(topic, *response);
@@ -77,6 +82,16 @@
             append("keyed.op", platform::encode_record("config", request.body));
             response->send({200, {}, ""});
         }
+        else if (request.target.rfind("/control/evacuate/", 0) == 0) {
+            constexpr std::size_t control_prefix = std::string_view{"/control/"}.size();
+            append("keyed.op",
+                   platform::encode_record(request.target.substr(control_prefix), request.body));
+            response->send({200, {}, ""});
+        }
+        else if (request.target.rfind("/control/rollback", 0) == 0) {
+            roll_back(std::strtoull(parameter(request.target, "Records").c_str(), nullptr, 10));
+            response->send({200, {}, ""});
+        }
         else if (request.target == "/control/lose_reads") {
             std::move(waiting_reads_.begin(), waiting_reads_.end(),
                       std::back_inserter(lost_reads_));
@@ -89,6 +104,21 @@
     }
 
 private:
+    /// Names the era in the response.
+    void respond(responder& response, http_response content) const
+    {
+        content.headers.push_back({"Store-Era", std::to_string(era_)});
+        response.send(std::move(content));
+    }
+
+    void roll_back(std::size_t lost)
+    {
+        ++era_;
+        for (auto& [topic, records] : topics_) {
+            records.resize(records.size() - std::min(lost, records.size()));
+        }
+    }
+
     void append(const std::string& topic, const std::string& bytes)
     {
         // A record begins with its own length and the length of its key.
@@ -122,14 +152,14 @@
         for (const auto& [key, item] : items) {
             body["items"].push_back(item);
         }
-        response.send({200, {{"Content-Type", "application/json"}}, body.dump()});
+        respond(response, {200, {{"Content-Type", "application/json"}}, body.dump()});
     }
 
     void read(const std::string& topic, const std::string& target,
               const std::shared_ptr<responder>& response)
     {
         const auto from = std::strtoull(parameter(target, "From").c_str(), nullptr, 10);
-        if (from < topics_[topic].size()) {
+        if (from != topics_[topic].size()) {
             send_records(topic, from, *response);
             return;
         }
@@ -154,14 +184,19 @@
     void send_records(const std::string& topic, std::size_t from, responder& response)
     {
         const auto& records = topics_[topic];
+        if (from > records.size()) {
+            respond(response, {410, {}, ""});
+            return;
+        }
         std::string body = big_endian(records.size()) + big_endian(0);
         for (std::size_t i = from; i < records.size(); ++i) {
             body += records[i].bytes;
         }
-        response.send({200, {{"Content-Type", "application/octet-stream"}}, std::move(body)});
+        respond(response, {200, {{"Content-Type", "application/octet-stream"}}, std::move(body)});
     }
 
     std::mutex mutex_;
+    std::uint64_t era_ = 1;
     std::map<std::string, std::vector<stored_record>> topics_;
     std::vector<waiting_read> waiting_reads_;
     /// Kept because the server closes the connection of a responder that is destroyed.
--- a/unittests/platform/store_client_test.cpp
+++ b/unittests/platform/store_client_test.cpp
@@ -98,5 +98,33 @@
     EXPECT_EQ(values, std::vector<std::string>{"2"});
 }
 
+// Guards against an evacuation that is missed or not revoked, and against offsets whose era is not
+// known.
+TEST(store_client, reads_evacuations_and_the_era)
+{
+    fake_client http;
+    store_client store{http, "http://127.0.0.1:1"};
+    const std::string offsets(16, '\0');
+    keyed_page read;
+    store.follow(store_topic::document, 7, milliseconds{1}, [&](const auto& page) {
+        ASSERT_TRUE(page.ok());
+        read = *page;
+    });
+    http.take().done(
+        {http_error::none,
+         {200,
+          {{"Store-Era", "3"}},
+          offsets + encode_record("evacuate/west", "{}") + encode_record("evacuate/west", "")},
+         {}});
+    EXPECT_EQ(read.era, 3U);
+    EXPECT_TRUE(read.records.empty());
+    ASSERT_EQ(read.evacuations.size(), 2U);
+    EXPECT_EQ(read.evacuations[0].data_centre, "west");
+    EXPECT_TRUE(read.evacuations[0].evacuated);
+    EXPECT_EQ(read.evacuations[0].offset, 7U);
+    EXPECT_FALSE(read.evacuations[1].evacuated);
+    EXPECT_EQ(read.evacuations[1].offset, 8U);
+}
+
 } // namespace
 } // namespace chestnutstand::platform
