Keep the evacuated data centres and the era of the store on all nodes

A reader went on from an offset that meant another record after a rollback of the store, and nothing knew of evacuations.

A digest in gossip messages makes nodes fetch the state. record_follower reads the newest records again in a new era. Members in evacuated data centres leave the routing table. A node writes its member record again if the store may have lost it.

--- a/include/chestnutstand/config/configuration.h
+++ b/include/chestnutstand/config/configuration.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "chestnutstand/config/document.h"
+#include "chestnutstand/config/evacuation_follower.h"
 #include "chestnutstand/support/clock.h"
 #include "chestnutstand/support/snapshot.h"
 #include "chestnutstand/transport/peer_client.h"
@@ -58,6 +59,13 @@
     /// are fetched from the peer.
     virtual void hint(const node_reference& peer, std::uint64_t position) = 0;
 
+    /// Evacuated data centres; null if the source does not have them.
+    virtual evacuation_follower* evacuations() { return nullptr; }
+
+    /// Reports that a peer has a state of the evacuated data centres with this digest; when this
+    /// node has another one, it is fetched from the peer.
+    virtual void hint_evacuations(const node_reference& /*peer*/, std::uint64_t /*digest*/) {}
+
     /// Response to a peer that has advanced to a position: the changes after it.
     virtual fetched_changes handle_fetch(std::uint64_t position) const = 0;
 };
--- a/include/chestnutstand/config/record_follower.h
+++ b/include/chestnutstand/config/record_follower.h
@@ -31,6 +31,9 @@
     milliseconds lost_read_grace{1'000};
     /// Time limit of one fetch from a peer.
     milliseconds fetch_timeout{500};
+    /// Shortest time between two fetches of the evacuations. Two nodes may differ for seconds after
+    /// a rollback of the store.
+    milliseconds evacuation_fetch_interval{200};
     /// Delay after a failed read; doubled with each further failure, up to the limit of the role.
     milliseconds initial_backoff{250};
     milliseconds max_lead_backoff{1'000};
@@ -69,6 +72,8 @@
     std::size_t wanted_readers() const override;
     source_progress progress() const override { return progress_; }
     void hint(const node_reference& peer, std::uint64_t position) override;
+    evacuation_follower* evacuations() override { return &evacuations_; }
+    void hint_evacuations(const node_reference& peer, std::uint64_t digest) override;
     fetched_changes handle_fetch(std::uint64_t position) const override;
 
 private:
@@ -87,6 +92,10 @@
     void report_unknown_names(const document& accepted) const;
     bool apply(const std::string& text, const char* source);
     void fetch();
+    /// Applies a document or the evacuations of a peer.
+    void apply_fetched(const fetched_changes& changes);
+    /// Starts over with the newest records if the offset of the next read is of an older era.
+    void on_rollback(std::uint64_t era);
     void finish_fetch(const node_reference& peer, const absl::StatusOr<fetched_changes>& changes);
 
     struct peer_hint {
@@ -114,6 +123,8 @@
     source_progress progress_;
     /// Offset of the next long poll; nothing when the newest record has to be read first.
     std::optional<std::uint64_t> next_offset_;
+    /// Era of the store to which that offset belongs.
+    std::uint64_t offset_era_ = 0;
     milliseconds backoff_{0};
     bool store_reachable_ = true;
     /// At most one of each peer; several, because a peer may not respond.
@@ -122,6 +133,8 @@
     /// Fetching a newer document from a peer failed; the store is read instead, until
     /// that succeeds.
     bool peer_fetch_failed_ = false;
+    evacuation_follower evacuations_;
+    std::optional<time_point> evacuations_fetched_at_;
 };
 
 } // namespace chestnutstand
--- a/include/chestnutstand/membership/gossip_codec.h
+++ b/include/chestnutstand/membership/gossip_codec.h
@@ -23,6 +23,7 @@
     std::uint64_t target_instance = 0;
     std::uint64_t table_digest = 0;
     std::uint64_t cluster = 0;
+    std::uint64_t evacuation_digest = 0;
 };
 
 /// Content of one message of a push-pull exchange.
--- a/include/chestnutstand/membership/membership.h
+++ b/include/chestnutstand/membership/membership.h
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -70,6 +71,17 @@
     /// Sets the offset after the newest configuration record that this node has replayed. Peers are
     /// notified when it increases.
     void set_config_next_offset(std::uint64_t next);
+
+    /// Sets the digest that peers compare with theirs, and the callback for peers with another one.
+    void set_evacuation_digest(std::uint64_t digest);
+    void on_evacuation_hint(std::function<void(node_reference, std::uint64_t)> callback);
+
+    /// Leaves the members in these data centres out of the routing table.
+    void set_evacuated(std::set<std::string> data_centres);
+
+    /// Writes this node's record to the member directory again if the directory may have lost it,
+    /// because it has come back from an older copy of itself.
+    void restore_record();
     /// Sets the callback for messages of peers that have replayed more configuration records; its
     /// arguments are the peer and the peer's offset.
     void on_config_hint(std::function<void(node_reference, std::uint64_t)> callback);
--- a/include/chestnutstand/membership/swim.h
+++ b/include/chestnutstand/membership/swim.h
@@ -71,12 +71,19 @@
     std::uint64_t next_offset = 0;
 };
 
+/// Reports a peer that has another state of the evacuated data centres than this node.
+struct evacuation_hint {
+    node_reference peer;
+    std::uint64_t digest = 0;
+};
+
 /// Actions and events for the owner of the state machine.
 struct swim_output {
     std::vector<datagram> datagrams;
     /// Peers to start a push-pull exchange with.
     std::vector<node_reference> sync_peers;
     std::vector<config_hint> config_hints;
+    std::vector<evacuation_hint> evacuation_hints;
     /// Senders of other clusters whose messages were dropped.
     std::vector<node_reference> foreign_senders;
     bool members_changed = false;
@@ -122,6 +129,9 @@
     void leave();
     void set_config_next_offset(std::uint64_t next);
 
+    /// Sets the digest of the state of the evacuated data centres, and sends it to some members.
+    void set_evacuation_digest(std::uint64_t digest);
+
     swim_output take_output() { return std::exchange(output_, {}); }
 
     const member& self() const { return self_; }
@@ -193,6 +203,7 @@
     /// Members of the same data centre, because a receiver fetches the announced records from the
     /// sender, and one random member, for data centres in which no node reads the source.
     std::vector<const member*> hint_targets();
+    void send_hints();
     std::size_t transmit_limit() const;
 
     // Timers.
@@ -234,6 +245,7 @@
     std::vector<std::uint64_t> verify_order_;
     std::uint64_t last_sequence_ = 0;
     std::uint64_t config_next_offset_ = 0;
+    std::uint64_t evacuation_digest_ = 0;
     /// Time of the last tick or message; detects pauses of this process.
     time_point last_run_;
     time_point last_heard_;
--- a/lib/config/record_follower.cpp
+++ b/lib/config/record_follower.cpp
@@ -20,14 +20,16 @@
 record_follower::record_follower(record_follower_options options, control_loop& loop,
                                  keyed_store& store, peer_client& peers, metrics& stats)
     : options_{options}, loop_{loop}, store_{store}, peers_{peers}, stats_{stats},
-      random_{options_.random_seed}
+      random_{options_.random_seed}, evacuations_{loop}
 {
+    evacuations_.on_rollback([this](std::uint64_t era) { on_rollback(era); });
 }
 
 record_follower::~record_follower() = default;
 
 void record_follower::start()
 {
+    evacuations_.start();
     read();
 }
 
@@ -95,8 +97,18 @@
     backoff_ = milliseconds{0};
     peer_fetch_failed_ = false;
     records_expired_ = records_expired_ && !next_offset_;
-    next_offset_ = page->next;
+    const bool is_listing = !next_offset_;
     apply_page(*page);
+    if (!is_listing && page->era != offset_era_) {
+        // The offset belongs to another era; the page may lack records or contain those of the
+        // older copy. The newest records are complete.
+        next_offset_.reset();
+        schedule_read(milliseconds{0});
+        return;
+    }
+    next_offset_ = page->next;
+    offset_era_ = page->era;
+    is_listing ? evacuations_.observe_listing(*page) : evacuations_.observe_records(*page);
     schedule_read(milliseconds{0});
 }
 
@@ -126,6 +138,17 @@
     }
 }
 
+void record_follower::on_rollback(std::uint64_t era)
+{
+    if (!next_offset_ || offset_era_ >= era) {
+        return;
+    }
+    next_offset_.reset();
+    if (reading_ && is_reader()) {
+        replace_read("the store has a new era");
+    }
+}
+
 void record_follower::expect_response()
 {
     if (!reading_) {
@@ -272,9 +295,7 @@
     }
     else {
         const std::uint64_t before = version_;
-        for (const auto& record : changes->records) {
-            apply(record.payload, "peer");
-        }
+        apply_fetched(*changes);
         if (version_ > before) {
             expect_response();
         }
@@ -282,12 +303,43 @@
     fetch();
 }
 
+void record_follower::apply_fetched(const fetched_changes& changes)
+{
+    for (const auto& record : changes.records) {
+        if (!evacuations_.merge(record.payload)) {
+            apply(record.payload, "peer");
+        }
+    }
+}
+
+void record_follower::hint_evacuations(const node_reference& peer, std::uint64_t digest)
+{
+    const time_point now = ms_clock::now();
+    const bool fetched_recently = evacuations_fetched_at_ && now - *evacuations_fetched_at_ <
+                                                                 options_.evacuation_fetch_interval;
+    if (digest == evacuations_.digest() || fetched_recently) {
+        return;
+    }
+    evacuations_fetched_at_ = now;
+    peers_.fetch_changes(peer, version_, options_.fetch_timeout,
+                         [this](absl::StatusOr<fetched_changes> changes) {
+                             loop_.post([this, changes = std::move(changes)] {
+                                 if (changes.ok()) {
+                                     apply_fetched(*changes);
+                                 }
+                             });
+                         });
+}
+
 fetched_changes record_follower::handle_fetch(std::uint64_t position) const
 {
     fetched_changes response;
     if (position < version_) {
         response.records.push_back({version_, record_text_});
     }
+    if (evacuations_.digest() != 0) {
+        response.records.push_back({version_, evacuations_.text()});
+    }
     return response;
 }
 
--- a/lib/membership/gossip_codec.cpp
+++ b/lib/membership/gossip_codec.cpp
@@ -68,6 +68,7 @@
     out.set_target_instance(message.target_instance);
     out.set_table_digest(message.table_digest);
     out.set_cluster(message.cluster);
+    out.set_evacuation_digest(message.evacuation_digest);
     return out.SerializeAsString();
 }
 
@@ -98,6 +99,7 @@
     message.target_instance = in.target_instance();
     message.table_digest = in.table_digest();
     message.cluster = in.cluster();
+    message.evacuation_digest = in.evacuation_digest();
     return message;
 }
 
--- a/lib/membership/membership.cpp
+++ b/lib/membership/membership.cpp
@@ -94,6 +94,11 @@
             config_hint_callback_(hint.peer, hint.next_offset);
         }
     }
+    for (const evacuation_hint& hint : output.evacuation_hints) {
+        if (evacuation_hint_callback_) {
+            evacuation_hint_callback_(hint.peer, hint.digest);
+        }
+    }
     for (const node_reference& sender : output.foreign_senders) {
         log_event(
             log_level::warning, "message of another cluster dropped",
@@ -117,7 +122,7 @@
     last_publish_ = now;
     auto table = std::make_shared<routing_table>();
     const auto add = [&](const member& candidate) {
-        if (protocol_->is_routable(candidate)) {
+        if (protocol_->is_routable(candidate) && !evacuated_.contains(candidate.data_centre)) {
             table->by_service[candidate.service].push_back(candidate);
         }
     };
@@ -129,6 +134,15 @@
     table_.store(std::move(table));
 }
 
+void membership::impl::set_evacuated(std::set<std::string> data_centres)
+{
+    evacuated_ = std::move(data_centres);
+    publish_due_ = true;
+    if (protocol_) {
+        publish(ms_clock::now());
+    }
+}
+
 void membership::impl::log_routing_changes(const routing_table& before,
                                            const routing_table& after) const
 {
@@ -288,6 +302,27 @@
     impl_->config_hint_callback_ = std::move(callback);
 }
 
+void membership::set_evacuation_digest(std::uint64_t digest)
+{
+    impl_->protocol_->set_evacuation_digest(digest);
+    impl_->flush();
+}
+
+void membership::on_evacuation_hint(std::function<void(node_reference, std::uint64_t)> callback)
+{
+    impl_->evacuation_hint_callback_ = std::move(callback);
+}
+
+void membership::set_evacuated(std::set<std::string> data_centres)
+{
+    impl_->set_evacuated(std::move(data_centres));
+}
+
+void membership::restore_record()
+{
+    impl_->restore_record();
+}
+
 void membership::on_resume(std::function<void()> callback)
 {
     impl_->resume_callback_ = std::move(callback);
--- a/lib/membership/membership_impl.h
+++ b/lib/membership/membership_impl.h
@@ -7,6 +7,8 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
+#include <string>
 #include <utility>
 
 namespace chestnutstand {
@@ -31,12 +33,15 @@
     void handle_sync(const std::vector<std::string>& request,
                      const peer_client::members_done& reply);
     gossip_traffic traffic() const;
+    void set_evacuated(std::set<std::string> data_centres);
+    void restore_record();
 
     /// Empty until the start has run on the control thread.
     std::optional<swim> protocol_;
     std::unique_ptr<gossip_transport> transport_;
     snapshot<routing_table> table_;
     std::function<void(node_reference, std::uint64_t)> config_hint_callback_;
+    std::function<void(node_reference, std::uint64_t)> evacuation_hint_callback_;
     std::function<void()> resume_callback_;
 
 private:
@@ -61,6 +66,8 @@
     // Joining. In each round the node contacts seeds or starts a push-pull exchange, ensures that
     // the member directory has enough records, and reads the directory.
     void join_round();
+    void on_appended(const absl::Status& status);
+    void append_again();
     void read_directory();
     bool is_join_complete() const { return synced_ && append_complete_ && read_after_append_; }
     void schedule_join_round();
@@ -78,6 +85,10 @@
     std::mt19937_64 random_;
     time_point last_publish_;
     bool publish_due_ = true;
+    /// Data centres whose members are not routed to.
+    std::set<std::string> evacuated_;
+    /// When this node's record was last written to the member directory.
+    std::optional<time_point> appended_at_;
     /// Whether a push-pull exchange has succeeded.
     bool synced_ = false;
     bool sync_running_ = false;
--- a/lib/membership/membership_join.cpp
+++ b/lib/membership/membership_join.cpp
@@ -20,6 +20,10 @@
 // Two refresh periods, so that a record is stale once a refresh has been missed.
 constexpr milliseconds record_freshness{600'000};
 constexpr std::size_t refreshers_per_data_centre = 2;
+// A directory comes back from a copy that is some seconds old, and a node may learn of it late.
+constexpr milliseconds max_copy_age{120'000};
+// Spreads the writes of the nodes that started shortly before the rollback.
+constexpr milliseconds rewrite_jitter{2'000};
 constexpr std::size_t contacts_per_round = 3;
 constexpr std::size_t contacts_per_refresh = 20;
 
@@ -52,12 +56,51 @@
     // Append before reading: of two nodes that start together, the later one then reads both
     // records.
     directory_->append(options_.self, guarded([](impl& self, const absl::Status& status) {
-                           self.append_complete_ = self.append_complete_ || status.ok();
-                           self.refreshing_ = self.refreshing_ && !status.ok();
+                           self.on_appended(status);
                            self.read_directory();
                        }));
 }
 
+void membership::impl::on_appended(const absl::Status& status)
+{
+    append_complete_ = append_complete_ || status.ok();
+    refreshing_ = refreshing_ && !status.ok();
+    if (status.ok()) {
+        appended_at_ = ms_clock::now();
+    }
+}
+
+void membership::impl::restore_record()
+{
+    if (!appended_at_) {
+        // An append that is under way may reach the directory before or after the rollback.
+        loop_.post_after(rewrite_jitter, guarded([](impl& self) { self.restore_record(); }));
+        return;
+    }
+    const bool may_be_lost = appended_at_ && ms_clock::now() - *appended_at_ < max_copy_age;
+    if (!may_be_lost || protocol_->self().state == liveness::left) {
+        return;
+    }
+    log_event(log_level::info, "member record written again after a rollback of the directory", {});
+    append_complete_ = false;
+    read_after_append_ = false;
+    std::uniform_real_distribution<double> share{0.0, 1.0};
+    loop_.post_after(rewrite_jitter * share(random_),
+                     guarded([](impl& self) { self.append_again(); }));
+}
+
+void membership::impl::append_again()
+{
+    directory_->append(options_.self, guarded([](impl& self, const absl::Status& status) {
+                           self.on_appended(status);
+                           if (!status.ok()) {
+                               self.loop_.post_after(rewrite_jitter, self.guarded([](impl& node) {
+                                   node.append_again();
+                               }));
+                           }
+                       }));
+}
+
 void membership::impl::read_directory()
 {
     directory_->refresh(
@@ -162,8 +205,7 @@
         return;
     }
     directory_->append(options_.self, guarded([](impl& self, const absl::Status& status) {
-                           self.append_complete_ = self.append_complete_ || status.ok();
-                           self.refreshing_ = self.refreshing_ && !status.ok();
+                           self.on_appended(status);
                        }));
 }
 
--- a/lib/membership/swim.cpp
+++ b/lib/membership/swim.cpp
@@ -62,6 +62,9 @@
     if (message->config_next_offset > config_next_offset_) {
         output_.config_hints.push_back({message->sender.node, message->config_next_offset});
     }
+    if (message->evacuation_digest != evacuation_digest_ && message->evacuation_digest != 0) {
+        output_.evacuation_hints.push_back({message->sender.node, message->evacuation_digest});
+    }
     compare_digests(*message, now);
     switch (message->kind) {
     case gossip_kind::ping:
@@ -300,6 +303,19 @@
         return;
     }
     config_next_offset_ = next;
+    send_hints();
+}
+
+void swim::set_evacuation_digest(std::uint64_t digest)
+{
+    if (digest != evacuation_digest_) {
+        evacuation_digest_ = digest;
+        send_hints();
+    }
+}
+
+void swim::send_hints()
+{
     for (const member* peer : hint_targets()) {
         gossip_message hint;
         hint.kind = gossip_kind::config_hint;
@@ -349,6 +365,7 @@
     message.sender = self_;
     message.cluster = options_.cluster;
     message.config_next_offset = config_next_offset_;
+    message.evacuation_digest = evacuation_digest_;
     message.table_digest = stable_digest();
     add_updates(message, to_instance);
     output_.datagrams.push_back({address, port, encode(message)});
--- a/lib/node/components/membership_component.cpp
+++ b/lib/node/components/membership_component.cpp
@@ -9,6 +9,9 @@
 #include <cstddef>
 #include <future>
 #include <memory>
+#include <set>
+#include <string>
+#include <utility>
 
 namespace chestnutstand {
 namespace {
@@ -42,7 +45,9 @@
         std::promise<absl::Status> started;
         node.control().post([&] {
             connect_configuration(node);
-            started.set_value(members_->start());
+            absl::Status result = members_->start();
+            connect_evacuations(node.get<configuration>());
+            started.set_value(std::move(result));
         });
         absl::Status status = started.get_future().get();
         node.ports().gossip = members_->gossip_port();
@@ -114,6 +119,27 @@
             [&config](const node_reference& peer, std::uint64_t next) { config.hint(peer, next); });
     }
 
+    /// To be called after the start of the membership, which sends the digest.
+    void connect_evacuations(configuration& config)
+    {
+        auto* evacuations = config.evacuations();
+        if (evacuations == nullptr) {
+            return;
+        }
+        if (const auto known = evacuations->evacuated().load()) {
+            members_->set_evacuated(*known);
+        }
+        members_->set_evacuation_digest(evacuations->digest());
+        evacuations->on_change(
+            [this](const std::set<std::string>& names) { members_->set_evacuated(names); });
+        evacuations->on_digest(
+            [this](std::uint64_t digest) { members_->set_evacuation_digest(digest); });
+        evacuations->on_rollback([this](std::uint64_t /*era*/) { members_->restore_record(); });
+        members_->on_evacuation_hint([&config](const node_reference& peer, std::uint64_t digest) {
+            config.hint_evacuations(peer, digest);
+        });
+    }
+
     std::unique_ptr<membership> members_;
 };
 
--- a/unittests/config/record_follower_test.cpp
+++ b/unittests/config/record_follower_test.cpp
@@ -10,6 +10,7 @@
 #include <condition_variable>
 #include <deque>
 #include <mutex>
+#include <set>
 
 namespace chestnutstand {
 namespace {
@@ -200,6 +201,68 @@
     EXPECT_EQ(version(), 8U);
 }
 
+keyed_page page_of_era(std::uint64_t era, std::uint64_t next)
+{
+    keyed_page page;
+    page.era = era;
+    page.next = next;
+    return page;
+}
+
+// Guards against a reader that goes on from an offset that means another record since the store has
+// come back from an older copy, and against a document that is replaced by its older version there.
+TEST_F(record_follower_test, reads_the_newest_again_in_a_new_era)
+{
+    auto first = page_of_era(1, 5);
+    first.records = {{"k", record_of(6), 4}};
+    store_.next().done(first);
+    const auto follow = store_.next();
+    EXPECT_EQ(follow.from, 5U);
+    follow.done(page_of_era(2, 5));
+    const auto again = store_.next();
+    EXPECT_TRUE(again.newest);
+    auto older = page_of_era(2, 4);
+    older.records = {{"k", record_of(5), 3}};
+    again.done(older);
+    EXPECT_EQ(store_.next().from, 4U);
+    EXPECT_EQ(version(), 6U);
+}
+
+// Guards against a reader whose long poll waits at an offset of the era before, although a peer
+// knows the new one.
+TEST_F(record_follower_test, starts_over_when_a_peer_knows_a_new_era)
+{
+    store_.next().done(page_of_era(1, 5));
+    const auto waiting = store_.next();
+    EXPECT_FALSE(waiting.newest);
+    peers_.add(2, [](std::uint64_t, const peer_client::changes_done& done) {
+        done(fetched_changes{{{0, R"({"evacuations":[],"era":2})"}}, false});
+    });
+    on_control([&] { follower_->hint_evacuations({2, "127.0.0.1", 1}, 77); });
+    EXPECT_TRUE(store_.next().newest);
+}
+
+// Guards against an evacuation that a node without the store does not learn of from its peers.
+TEST_F(record_follower_test, takes_evacuations_from_the_store_and_passes_them_on)
+{
+    auto listing = page_of_era(1, 5);
+    listing.evacuations = {{"west", true, 4}};
+    store_.next().done(listing);
+    store_.next();
+    std::string text;
+    on_control([&] { text = follower_->handle_fetch(0).records.back().payload; });
+    fake_store unreachable;
+    record_follower other{{}, loop_, unreachable, peers_, stats_};
+    peers_.add(2, [&](std::uint64_t, const peer_client::changes_done& done) {
+        done(fetched_changes{{{0, text}}, false});
+    });
+    on_control([&] { other.hint_evacuations({2, "127.0.0.1", 1}, 77); });
+    run_posted_tasks();
+    const auto names = other.evacuations()->evacuated().load();
+    ASSERT_TRUE(names);
+    EXPECT_EQ(*names, std::set<std::string>{"west"});
+}
+
 // Guards against a node that keeps an old document when it cannot reach the store but its peers
 // can.
 TEST_F(record_follower_test, takes_a_newer_document_from_a_peer)
--- a/unittests/membership/membership_test.cpp
+++ b/unittests/membership/membership_test.cpp
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <chrono>
 #include <future>
 #include <map>
@@ -88,6 +89,13 @@
         done(absl::UnimplementedError(""));
     }
 
+    /// Loses all records, as when the store comes back from an older copy of itself.
+    void lose_records()
+    {
+        const std::lock_guard lock{mutex_};
+        records_.clear();
+    }
+
     bool holds(const std::string& key)
     {
         const std::lock_guard lock{mutex_};
@@ -324,5 +332,49 @@
     loop.stop();
 }
 
+// Guards against a node that no other one finds, because the store has lost its record.
+TEST(membership, writes_a_lost_record_again)
+{
+    memory_store store;
+    local_peers peers;
+    control_loop loop;
+    membership node{test_node::options(1, {}), loop, std::make_shared<keyed_directory>(loop, store),
+                    peers};
+    ASSERT_TRUE(node.start().ok());
+    const std::string key = "127.0.0.1:" + std::to_string(node.gossip_port());
+    EXPECT_TRUE(eventually([&] { return store.holds(key) && store.calls() >= 2; }));
+    store.lose_records();
+    EXPECT_TRUE(eventually([&] {
+        loop.post([&] { node.restore_record(); });
+        return store.holds(key);
+    }));
+    loop.stop();
+}
+
+// Guards against calls to members in an evacuated data centre, and against an evacuation of which
+// only the node that read it is aware.
+TEST(membership, evacuated_members_leave_the_table_and_peers_get_a_hint)
+{
+    memory_log log;
+    local_peers peers;
+    test_node a{1, log, peers};
+    ASSERT_TRUE(a.node.start().ok());
+    a.run([&] { a.node.set_local_upstream("ledger-view", 10); });
+    test_node b{2, log, peers, {{"127.0.0.1", a.node.gossip_port()}}};
+    std::atomic<std::uint64_t> hinted{0};
+    b.run([&] {
+        b.node.on_evacuation_hint(
+            [&](const node_reference& /*peer*/, std::uint64_t digest) { hinted = digest; });
+    });
+    ASSERT_TRUE(b.node.start().ok());
+    EXPECT_TRUE(eventually([&] { return b.routable("ledger-view") == 1; }));
+    a.run([&] { a.node.set_evacuation_digest(17); });
+    EXPECT_TRUE(eventually([&] { return hinted == 17U; }));
+    b.run([&] { b.node.set_evacuated({"howrah"}); });
+    EXPECT_TRUE(eventually([&] { return b.routable("ledger-view") == 0; }));
+    b.run([&] { b.node.set_evacuated({}); });
+    EXPECT_TRUE(eventually([&] { return b.routable("ledger-view") == 1; }));
+}
+
 } // namespace
 } // namespace chestnutstand
