Refuse calls in an evacuated data centre

The executor of a node there refuses new and queued calls with data_centre_evacuated and sends its upstream nothing but health checks. After the evacuation it treats the upstream as cold until that is known not to be. Dispatchers leave a member that refuses so.

--- a/include/chestnutstand/node/executor.h
+++ b/include/chestnutstand/node/executor.h
@@ -76,6 +76,9 @@
     /// Observes a heartbeat of an upstream process, which stays cold for the time left.
     void observe_heartbeat(const local_upstream& sender, milliseconds cold_left, time_point now);
 
+    /// Refuses all calls, and the queued ones, while the data centre of the node is evacuated.
+    void set_evacuated(bool evacuated);
+
     /// Refuses routed calls whose deadline is later, and queued calls that are not expected to be
     /// completed by then, because the node ends.
     void refuse_calls_beyond(time_point end);
@@ -257,6 +260,7 @@
     time_point lease_end_ = time_point::max();
     time_point latest_deadline_ = time_point::max();
     bool draining_ = false;
+    bool evacuated_ = false;
 };
 
 } // namespace chestnutstand
--- a/lib/node/components/executor_component.cpp
+++ b/lib/node/components/executor_component.cpp
@@ -58,7 +58,10 @@
         node.provide(*executor_);
         node.provide(*registry_);
         node.control().repeat(lease_check_interval, [this] { registry_->expire(ms_clock::now()); });
-        node.control().repeat(poll_interval, [this] { executor_->poll(ms_clock::now()); });
+        node.control().repeat(poll_interval, [this, &node] {
+            executor_->set_evacuated(is_evacuated(node));
+            executor_->poll(ms_clock::now());
+        });
         return absl::OkStatus();
     }
 
@@ -73,6 +76,14 @@
     bool idle() const override { return executor_->idle(); }
 
 private:
+    static bool is_evacuated(kernel& node)
+    {
+        auto* config = node.find<configuration>();
+        auto* evacuations = config != nullptr ? config->evacuations() : nullptr;
+        const auto names = evacuations != nullptr ? evacuations->evacuated().load() : nullptr;
+        return names && names->contains(node.config().data_centre);
+    }
+
     /// Confirms an upstream whose health path responds with status 200. Without a document, a
     /// service in it or a health path there, the upstream is confirmed without a request.
     void verify_upstream(kernel& node, const local_upstream& upstream, std::uint64_t born_ms)
--- a/lib/node/executor.cpp
+++ b/lib/node/executor.cpp
@@ -343,7 +343,7 @@
         apply_cold_limit(now);
         update_queue_slowdown(now);
         apply_queue_decisions(now, deferred);
-        const bool probes = upstream_ && !draining_ && !statement_.rate_limit();
+        const bool probes = upstream_ && !draining_ && !evacuated_ && !statement_.rate_limit();
         if (probes) {
             probe_url = upstream_->base_url;
         }
--- a/lib/node/executor_drain.cpp
+++ b/lib/node/executor_drain.cpp
@@ -1,8 +1,10 @@
 // Refusals of an executor whose node or upstream ends.
 
 #include "chestnutstand/node/executor.h"
+#include "chestnutstand/support/log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace chestnutstand {
 namespace {
@@ -19,6 +21,30 @@
     latest_deadline_ = end;
 }
 
+void executor::set_evacuated(bool evacuated)
+{
+    deferred_actions deferred;
+    {
+        const std::lock_guard lock{mutex_};
+        if (std::exchange(evacuated_, evacuated) == evacuated) {
+            return;
+        }
+        if (queue_ && evacuated) {
+            refuse_queued(reason_code::data_centre_evacuated, deferred);
+        }
+        if (queue_ && !evacuated) {
+            // The upstream got no calls and may have become cold.
+            queue_->cold().forget();
+        }
+    }
+    stats_.counter("chestnutstand_data_centre_evacuated") = evacuated ? 1 : 0;
+    log_event(log_level::warning,
+              evacuated ? "data centre of the node is evacuated"
+                        : "data centre of the node is not evacuated any more",
+              {});
+    run_deferred(std::move(deferred));
+}
+
 void executor::begin_drain()
 {
     const std::lock_guard lock{mutex_};
--- a/lib/node/executor_queue.cpp
+++ b/lib/node/executor_queue.cpp
@@ -16,6 +16,9 @@
     if (target_instance != instance_) {
         return reason_code::wrong_instance;
     }
+    if (evacuated_) {
+        return reason_code::data_centre_evacuated;
+    }
     if (draining_ || (is_routed(call) && call.deadline > latest_deadline_)) {
         return reason_code::draining;
     }
--- a/lib/node/executor_slowdown.cpp
+++ b/lib/node/executor_slowdown.cpp
@@ -21,7 +21,7 @@
 bool executor::should_wait_for_slowdown(const service_call& call, time_point now)
 {
     // Probes are requests too, and an upstream with a rate limit needs these for calls.
-    if (!is_routed(call) || names_.upstream_load.empty() || health_path().empty() ||
+    if (evacuated_ || !is_routed(call) || names_.upstream_load.empty() || health_path().empty() ||
         statement_.rate_limit() || slowdown_.has_fresh_report(usual_time_of(call, now), now) ||
         now < slowdown_probes_paused_until_) {
         return false;
--- a/lib/routing/upstream_selector.cpp
+++ b/lib/routing/upstream_selector.cpp
@@ -54,6 +54,7 @@
     case reason_code::peer_connection_lost:
     case reason_code::wrong_instance:
     case reason_code::draining:
+    case reason_code::data_centre_evacuated:
     case reason_code::no_upstream:
     case reason_code::upstream_unreachable:
         return true;
--- a/unittests/node/executor_cold_test.cpp
+++ b/unittests/node/executor_cold_test.cpp
@@ -152,6 +152,23 @@
     EXPECT_EQ(running_calls(), 20U);
 }
 
+// Guards against queued and new calls that run in a data centre that the operator has evacuated,
+// and against the full load at once when it is not evacuated any more.
+TEST_F(executor_cold_test, runs_nothing_while_its_data_centre_is_evacuated)
+{
+    state("0");
+    offer_many();
+    const auto running = running_calls();
+    limited_.set_evacuated(true);
+    EXPECT_EQ(stats_.value(reason_event::refused, reason_code::data_centre_evacuated),
+              20U - running);
+    EXPECT_EQ(offer(), reason_code::data_centre_evacuated);
+    EXPECT_EQ(running_calls(), running);
+    limited_.set_evacuated(false);
+    offer_many();
+    EXPECT_LE(running_calls(), running + 2);
+}
+
 // Guards against a limit that stays although nothing can state that it may be lifted.
 TEST_F(executor_cold_test, follows_heartbeats_if_there_is_no_health_path)
 {
