--- a/include/chestnutstand/config/evacuation_state.h
+++ b/include/chestnutstand/config/evacuation_state.h
@@ -3,12 +3,12 @@
 #include "chestnutstand/config/keyed_store.h"
 #include "chestnutstand/support/clock.h"
 
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace chestnutstand {
@@ -18,7 +18,15 @@
     std::uint64_t era = 0;
     std::uint64_t offset = 0;
 
-    friend auto operator<=>(const store_position&, const store_position&) = default;
+    friend bool operator==(const store_position&, const store_position&) = default;
+    friend bool operator<(const store_position& left, const store_position& right)
+    {
+        return std::tie(left.era, left.offset) < std::tie(right.era, right.offset);
+    }
+    friend bool operator<=(const store_position& left, const store_position& right)
+    {
+        return !(right < left);
+    }
 };
 
 /// What is known of one data centre.
--- a/include/chestnutstand/node/executor.h
+++ b/include/chestnutstand/node/executor.h
@@ -249,6 +249,8 @@
     time_point stated_cold_until_;
     bool cold_check_running_ = false;
     time_point next_cold_check_;
+    /// Time from the next check to the one after it, unless the upstream makes a statement.
+    milliseconds cold_check_backoff_{0};
     std::atomic<bool> last_cold_check_failed_{false};
     bool slowdown_probe_running_ = false;
     /// Calls that wait for the running slowdown probe.
--- a/lib/node/executor_cold.cpp
+++ b/lib/node/executor_cold.cpp
@@ -3,6 +3,7 @@
 #include "chestnutstand/node/executor.h"
 #include "chestnutstand/support/log.h"
 
+#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -15,6 +16,8 @@
 /// At most 20 health checks per second. With the 30 per second of the slowdown probes, this is less
 /// than the 60 per second that the deployment platforms allow.
 constexpr milliseconds cold_check_interval{50};
+/// Longest interval between checks that say nothing, as of an upstream whose health path fails.
+constexpr milliseconds max_cold_check_interval{1'000};
 constexpr int status_ok = 200;
 
 bool same_process(const local_upstream& left, const local_upstream& right)
@@ -99,7 +102,10 @@
         if (!queue_ || !upstream_ || !same_process(sender, *upstream_)) {
             return;
         }
-        change = observe_cold_time(left.value_or(milliseconds{0}), sent, ms_clock::now());
+        const auto now = ms_clock::now();
+        cold_check_backoff_ = cold_check_interval;
+        next_cold_check_ = std::min(next_cold_check_, now + cold_check_interval);
+        change = observe_cold_time(left.value_or(milliseconds{0}), sent, now);
     }
     log_cold_change(sender, change);
 }
@@ -148,7 +154,10 @@
             return;
         }
         cold_check_running_ = true;
-        next_cold_check_ = now + cold_check_interval;
+        cold_check_backoff_ =
+            std::clamp(cold_check_backoff_, cold_check_interval, max_cold_check_interval);
+        next_cold_check_ = now + cold_check_backoff_;
+        cold_check_backoff_ = cold_check_backoff_ * 2.0;
         asked = *upstream_;
         path = health_path();
     }
--- a/unittests/node/executor_cold_test.cpp
+++ b/unittests/node/executor_cold_test.cpp
@@ -144,6 +144,21 @@
     EXPECT_LE(running_calls(), 2U);
 }
 
+// Guards against health checks at the highest rate for ever because the health path fails.
+TEST_F(executor_cold_test, asks_an_upstream_that_states_nothing_less_often)
+{
+    const auto start = ms_clock::now();
+    const auto before = upstream_.last_id;
+    for (int ms = 0; ms < 10'000; ms += 40) {
+        limited_.poll(start + milliseconds{ms * 1.0});
+        if (waiting_check() != 0) {
+            upstream_.respond(waiting_check(), 503);
+        }
+    }
+    EXPECT_LE(upstream_.last_id - before, 16U);
+    EXPECT_GE(upstream_.last_id - before, 8U);
+}
+
 // Guards against a limit where the document has none.
 TEST_F(executor_cold_test, limits_nothing_without_a_rate_in_the_document)
 {
