--- a/tests/stub_upstream/stub_upstream.cpp
+++ b/tests/stub_upstream/stub_upstream.cpp
@@ -51,6 +51,9 @@
     bool cross_answers = false;
     /// Number of requests in flight that GET /load reports; negative means the actual number.
     int claimed_in_flight = -1;
+    /// Time for which GET /health says that the upstream is cold; negative means that there is no
+    /// such path.
+    double cold_ms = -1.0;
 };
 
 class stub_upstream {
@@ -74,6 +77,9 @@
         else if (request.target == "/load") {
             report_load(*response);
         }
+        else if (request.target == "/health" && states_cold_time()) {
+            report_health(*response);
+        }
         else if (request.target == "/counters") {
             report_counters(*response);
         }
@@ -97,9 +103,22 @@
         behaviour_.cross_answers = body.value("cross_answers", behaviour_.cross_answers);
         behaviour_.claimed_in_flight =
             body.value("claimed_in_flight", behaviour_.claimed_in_flight);
+        behaviour_.cold_ms = body.value("cold_ms", behaviour_.cold_ms);
         response.send({200, {}, ""});
     }
 
+    bool states_cold_time()
+    {
+        const std::lock_guard lock{mutex_};
+        return behaviour_.cold_ms >= 0.0;
+    }
+
+    void report_health(responder& response)
+    {
+        const std::lock_guard lock{mutex_};
+        response.send({200, {{"Cold", std::to_string(behaviour_.cold_ms)}}, ""});
+    }
+
     void report_load(responder& response)
     {
         const std::lock_guard lock{mutex_};
