Check in the rollback test that the executor stays evacuated

With a build that follows the older copy at once, the test passed by chance, because few requests went to members that had just come back.

--- a/tests/integration/evacuation_test.cpp
+++ b/tests/integration/evacuation_test.cpp
@@ -80,6 +80,15 @@
         return executions(west) - before;
     }
 
+    /// Whether the node beside the upstream in the west treats its data centre as evacuated.
+    bool is_west_evacuated()
+    {
+        const auto result = exchange(fleet_.client(), fleet_.members()[west]->admin_port,
+                                     {"GET", "/metrics", {}, ""});
+        return result.response.body.find("chestnutstand_data_centre_evacuated 1") !=
+               std::string::npos;
+    }
+
     /// Waits for the log line of a change at each node.
     void wait_for_change(const std::string& names)
     {
@@ -131,6 +140,10 @@
             return fields.value("message", "") == "store came back from an older copy";
         }));
     }
+    // Without the time that the operator gets to write its records again, the executor would follow
+    // the older copy with its next poll.
+    std::this_thread::sleep_for(std::chrono::milliseconds{500});
+    EXPECT_TRUE(is_west_evacuated());
     EXPECT_EQ(reach_west("/other/1"), 0U);
     write_document(2, "/other/");
     put("evacuate/west", "{}");
