--- a/include/chestnutstand/node/executor.h
+++ b/include/chestnutstand/node/executor.h
@@ -77,6 +77,9 @@
     /// Observes a heartbeat of an upstream process, which stays cold for the time left.
     void observe_heartbeat(const local_upstream& sender, milliseconds cold_left, time_point now);
 
+    /// Refuses all calls, and the queued ones, while the data centre of the node is evacuated.
+    void set_evacuated(bool evacuated);
+
     /// Refuses routed calls whose deadline is later, and queued calls that are not expected to be
     /// completed by then, because the node ends.
     void refuse_calls_beyond(time_point end);
@@ -262,6 +265,8 @@
     time_point stated_cold_until_;
     bool cold_check_running_ = false;
     time_point next_cold_check_;
+    /// Time from the next check to the one after it, unless the upstream makes a statement.
+    milliseconds cold_check_backoff_{0};
     std::atomic<bool> last_cold_check_failed_{false};
     bool slowdown_probe_running_ = false;
     /// Calls that wait for the running slowdown probe.
@@ -273,6 +278,7 @@
     time_point lease_end_ = time_point::max();
     time_point latest_deadline_ = time_point::max();
     bool draining_ = false;
+    bool evacuated_ = false;
 };
 
 } // namespace chestnutstand
--- a/lib/node/executor.cpp
+++ b/lib/node/executor.cpp
@@ -350,7 +350,7 @@
         refuse_removed_keys(deferred);
         update_queue_slowdown(now);
         apply_queue_decisions(now, deferred);
-        const bool probes = upstream_ && !draining_ && !statement_.rate_limit();
+        const bool probes = upstream_ && !draining_ && !evacuated_ && !statement_.rate_limit();
         if (probes) {
             probe_url = upstream_->base_url;
         }
