--- a/include/chestnutstand/node/ingress.h
+++ b/include/chestnutstand/node/ingress.h
@@ -5,6 +5,7 @@
 #include "chestnutstand/node/key_router.h"
 #include "chestnutstand/support/metrics.h"
 #include "chestnutstand/support/snapshot.h"
+#include "chestnutstand/tenancy/tenant_counters.h"
 #include "chestnutstand/transport/http_server.h"
 
 #include <atomic>
@@ -70,6 +71,9 @@
     void handle_query(const http_request& request, const request_ptr& opened);
     void refuse(const http_request& request, const request_ptr& opened, reason_code reason,
                 std::string_view detail);
+    /// Counts a request of a tenant; returns the counter of the tenant's refusals, or null if the
+    /// call has no tenant.
+    std::atomic<std::uint64_t>* count_tenant(const service_call& call);
     /// Sends the response unless the request has been answered before.
     void answer(const request_ptr& opened, http_response response);
 
@@ -80,6 +84,7 @@
     dispatcher& dispatcher_;
     key_router* keys_;
     metrics& stats_;
+    tenant_counters tenants_;
     std::atomic<std::uint64_t> next_call_ = 0;
     /// Index into the low-discrepancy sequence that places requests in the split of their route.
     std::atomic<std::uint64_t> next_position_ = 0;
--- a/lib/node/ingress.cpp
+++ b/lib/node/ingress.cpp
@@ -75,12 +75,19 @@
     return priority != nullptr ? priority->latency_target : milliseconds{0};
 }
 
+void count_refusal(std::atomic<std::uint64_t>* refusals)
+{
+    if (refusals != nullptr) {
+        ++*refusals;
+    }
+}
+
 } // namespace
 
 ingress::ingress(ingress_options options, const snapshot<document>& in_force, dispatcher& dispatch,
                  key_router* keys, metrics& stats)
-    : options_{std::move(options)}, in_force_{in_force},
-      dispatcher_{dispatch}, keys_{keys}, stats_{stats}, next_position_{options_.instance}
+    : options_{std::move(options)}, in_force_{in_force}, dispatcher_{dispatch}, keys_{keys},
+      stats_{stats}, tenants_{stats}, next_position_{options_.instance}
 {
 }
 
@@ -163,7 +170,9 @@
         return;
     }
     auto& call = std::get<service_call>(parsed);
+    auto* const tenant_refusals = count_tenant(call);
     if (call.deadline > latest_deadline_.load()) {
+        count_refusal(tenant_refusals);
         refuse(request, opened, reason_code::draining,
                "this node stops before the time limit of the request");
         return;
@@ -176,10 +185,24 @@
     latency_histogram& latency = stats_.call_latency(call.service, call.priority);
     const auto retry_after = retry_delay(latency_target_of(*in_force, call),
                                          low_discrepancy_position(next_retry_after_++));
-    dispatcher_.dispatch(call, [this, opened, start, &latency, retry_after](call_result result) {
-        latency.record(ms_clock::now() - start);
-        answer(opened, make_routed_response(std::move(result), retry_after));
-    });
+    dispatcher_.dispatch(
+        call, [this, opened, start, &latency, retry_after, tenant_refusals](call_result result) {
+            latency.record(ms_clock::now() - start);
+            if (result.outcome == call_outcome::not_run) {
+                count_refusal(tenant_refusals);
+            }
+            answer(opened, make_routed_response(std::move(result), retry_after));
+        });
+}
+
+std::atomic<std::uint64_t>* ingress::count_tenant(const service_call& call)
+{
+    if (call.tenant.empty()) {
+        return nullptr;
+    }
+    const tenant_counts counts = tenants_.of(call.tenant);
+    ++*counts.requests;
+    return counts.refusals;
 }
 
 void ingress::handle_call(const http_request& request, const request_ptr& opened)
