--- a/include/chestnutstand/config/record_follower.h
+++ b/include/chestnutstand/config/record_follower.h
@@ -85,6 +85,7 @@
     void count_read(read_end end);
     void log_failed_read(const absl::Status& status, time_point started) const;
     void report_unknown_names(const document& accepted) const;
+    static void report_shared_keys(const document& accepted);
     bool apply(const std::string& text, const char* source);
     void fetch();
     void finish_fetch(const node_reference& peer, const absl::StatusOr<fetched_changes>& changes);
--- a/lib/config/record_follower.cpp
+++ b/lib/config/record_follower.cpp
@@ -3,6 +3,7 @@
 #include "chestnutstand/config/document_parser.h"
 #include "chestnutstand/support/log.h"
 #include "chestnutstand/support/str_cat.h"
+#include "chestnutstand/tenancy/tenant_directory.h"
 
 #include <algorithm>
 #include <utility>
@@ -199,6 +200,18 @@
     }
 }
 
+void record_follower::report_shared_keys(const document& accepted)
+{
+    if (!accepted.directory || accepted.directory->tenants_with_shared_keys().empty()) {
+        return;
+    }
+    const auto& sharing = accepted.directory->tenants_with_shared_keys();
+    log_event(log_level::warning, "document lists keys of several tenants",
+              {{"version", accepted.version},
+               {"tenants", static_cast<std::uint64_t>(sharing.size())},
+               {"first", sharing.front()}});
+}
+
 /// Returns whether the record brought a new document into force.
 bool record_follower::apply(const std::string& text, const char* source)
 {
@@ -217,6 +230,7 @@
     record_text_ = text;
     const std::size_t routes = parsed->routes.size();
     report_unknown_names(*parsed);
+    report_shared_keys(*parsed);
     current_.store(std::make_shared<const document>(*std::move(parsed)));
     log_event(log_level::info, "document in force",
               {{"source", std::string{source}},
