--- a/tests/stub_upstream/stub_upstream.cpp
+++ b/tests/stub_upstream/stub_upstream.cpp
@@ -170,6 +170,7 @@
             {"method", request.method},
             {"echo", current.cross_answers ? "content of another request" : request.body},
             {"headers", header_names(request)},
+            {"tenant", header_text(request, "Tenant")},
             {"timeout_ms", header_text(request, header::timeout_ms)},
             {"depth", header_text(request, header::depth)},
             {"execution",
