--- a/include/chestnutstand/config/record_follower.h
+++ b/include/chestnutstand/config/record_follower.h
@@ -90,6 +90,7 @@
     void count_read(read_end end);
     void log_failed_read(const absl::Status& status, time_point started) const;
     void report_unknown_names(const document& accepted) const;
+    static void report_shared_keys(const document& accepted);
     bool apply(const std::string& text, const char* source);
     void fetch();
     /// Applies a document or the evacuations of a peer.
