Add quotas of tenants over all nodes: owner, stock, messages (in progress)

An owner node per tenant, chosen by rendezvous hashing, grants batches of tokens to the entry nodes. AcquireQuota is carried by gRPC and HTTP. The ingress refuses with 429 and Retry-After.

--- a/cmake/chestnutstand.cmake
+++ b/cmake/chestnutstand.cmake
@@ -28,3 +28,5 @@
 # transitively.
 set(CHESTNUTSTAND_NODE_MODULES cs_platform cs_node cs_dispatch cs_admission cs_keys cs_config cs_membership
                                cs_routing cs_transport cs_support cs_proto)
+# Quotas of tenants.
+list(APPEND CHESTNUTSTAND_NODE_MODULES cs_quota)
--- a/include/chestnutstand/node/ingress.h
+++ b/include/chestnutstand/node/ingress.h
@@ -5,6 +5,7 @@
 #include "chestnutstand/node/key_router.h"
 #include "chestnutstand/support/metrics.h"
 #include "chestnutstand/support/snapshot.h"
+#include "chestnutstand/tenancy/quota_service.h"
 #include "chestnutstand/transport/http_server.h"
 
 #include <atomic>
@@ -33,6 +34,9 @@
     ingress(ingress_options options, const snapshot<document>& in_force, dispatcher& dispatch,
             key_router* keys, metrics& stats);
 
+    /// Sets the quotas of routed calls, before the first request; null for none.
+    void set_quotas(quota_service* quotas) { quotas_ = quotas; }
+
     /// Handles one request and sends exactly one response to the responder.
     void handle(const http_request& request, const std::shared_ptr<responder>& response);
 
@@ -65,6 +69,9 @@
 
     request_ptr open(const http_request& request, const std::shared_ptr<responder>& response);
     void handle_routed(const http_request& request, const request_ptr& opened);
+    void dispatch_routed(service_call call, const request_ptr& opened, call_done done);
+    void refuse_for_quota(const service_call& call, const request_ptr& opened,
+                          const quota_verdict& verdict);
     void handle_call(const http_request& request, const request_ptr& opened);
     void handle_issue(const http_request& request, const request_ptr& opened);
     void handle_query(const http_request& request, const request_ptr& opened);
@@ -79,6 +86,7 @@
     const snapshot<document>& in_force_;
     dispatcher& dispatcher_;
     key_router* keys_;
+    quota_service* quotas_ = nullptr;
     metrics& stats_;
     std::atomic<std::uint64_t> next_call_ = 0;
     /// Index into the low-discrepancy sequence that places requests in the split of their route.
--- a/include/chestnutstand/support/token_bucket.h
+++ b/include/chestnutstand/support/token_bucket.h
@@ -3,6 +3,8 @@
 #include "chestnutstand/support/clock.h"
 
 #include <algorithm>
+#include <cmath>
+#include <cstdint>
 
 namespace chestnutstand {
 
@@ -26,6 +28,30 @@
         return true;
     }
 
+    /// Takes whole tokens, at most as many as wanted; returns their number.
+    std::uint32_t take_up_to(std::uint32_t wanted, time_point now)
+    {
+        refill(now);
+        const auto taken = static_cast<std::uint32_t>(
+            std::min(static_cast<double>(wanted), std::max(0.0, std::floor(tokens_))));
+        tokens_ -= taken;
+        return taken;
+    }
+
+    /// Whether the bucket holds all tokens that can be saved.
+    bool full(time_point now) const
+    {
+        const double refilled = std::max(0.0, (now - refilled_).count() * rate_per_ms_);
+        return tokens_ + refilled >= burst_;
+    }
+
+    /// Adds tokens, as far as they can be saved. A negative number delays the next token.
+    void add(double tokens, time_point now)
+    {
+        refill(now);
+        tokens_ = std::min(burst_, tokens_ + tokens);
+    }
+
     /// Time until the bucket would hold this many tokens if its size were not limited. The rate
     /// must not be 0.
     milliseconds time_until(double tokens, time_point now)
--- a/include/chestnutstand/transport/node_server.h
+++ b/include/chestnutstand/transport/node_server.h
@@ -31,6 +31,10 @@
     virtual load_report probe() = 0;
     virtual void fetch_changes(std::uint64_t from_offset, peer_client::changes_done done) = 0;
     virtual void sync_members(std::vector<std::string> members, peer_client::members_done done) = 0;
+    virtual void acquire_quota(const quota_request& /*request*/, peer_client::quota_done done)
+    {
+        done(absl::UnimplementedError("this node grants no quotas"));
+    }
 };
 
 /// Server for requests from other nodes.
--- a/include/chestnutstand/transport/peer_client.h
+++ b/include/chestnutstand/transport/peer_client.h
@@ -49,6 +49,33 @@
     bool starts_with_checkpoint = false;
 };
 
+enum class quota_request_kind : std::uint8_t {
+    acquire,   ///< From an entry node.
+    relayed,   ///< Passed on by a node that is not the owner, or is not ready to be it.
+    take_over, ///< From a new owner to its predecessor.
+};
+
+/// Request for tokens of a tenant's quota.
+struct quota_request {
+    std::string tenant;
+    std::uint32_t tokens = 0;
+    /// Version of the document in force at the sender.
+    std::uint64_t document_version = 0;
+    quota_request_kind kind = quota_request_kind::acquire;
+    /// Instance that sends this message.
+    std::uint64_t sender = 0;
+    /// Number of members that the sender has known, live or lost.
+    std::uint32_t members_known = 0;
+};
+
+struct quota_reply {
+    std::uint32_t granted = 0;
+    /// Time until the bucket will hold the tokens that were not granted.
+    milliseconds retry_after{0};
+    /// Whether the receiver could decide; if not, nothing was granted.
+    bool decided = false;
+};
+
 /// Asynchronous client for other nodes. Each callback runs exactly once, on any thread, possibly
 /// before the method returns.
 class peer_client {
@@ -91,6 +118,14 @@
     using members_done = std::function<void(absl::StatusOr<std::vector<std::string>>)>;
     virtual void sync_members(const node_reference& target, std::vector<std::string> members,
                               milliseconds timeout, members_done done) = 0;
+
+    /// Requests tokens of a tenant's quota. Clients of nodes without quotas need not implement it.
+    using quota_done = std::function<void(absl::StatusOr<quota_reply>)>;
+    virtual void acquire_quota(const node_reference& /*target*/, const quota_request& /*request*/,
+                               milliseconds /*timeout*/, quota_done done)
+    {
+        done(absl::UnimplementedError("this client requests no quotas"));
+    }
 };
 
 } // namespace chestnutstand
--- a/lib/node/components/ingress_component.cpp
+++ b/lib/node/components/ingress_component.cpp
@@ -16,7 +16,7 @@
 public:
     std::vector<std::string_view> dependencies() const override
     {
-        return {"config", "dispatcher", "keys"};
+        return {"config", "dispatcher", "keys", "quota"};
     }
 
     absl::Status start(kernel& node) override
@@ -27,6 +27,7 @@
                                                       config.headers, config.origin_service},
                                       node.get<configuration>().current(), node.get<dispatcher>(),
                                       node.find<key_router>(), node.stats());
+        ingress_->set_quotas(node.find<quota_service>());
         const socket_address address = config.caller_address.empty()
                                            ? socket_address{config.address, config.caller_port}
                                            : split_address(config.caller_address);
--- a/lib/node/components/node_endpoint_component.cpp
+++ b/lib/node/components/node_endpoint_component.cpp
@@ -3,6 +3,7 @@
 #include "chestnutstand/node/executor.h"
 #include "chestnutstand/node/kernel.h"
 #include "chestnutstand/node/key_router.h"
+#include "chestnutstand/tenancy/quota_service.h"
 #include "chestnutstand/transport/node_server.h"
 
 #include <memory>
@@ -69,6 +70,16 @@
             });
     }
 
+    void acquire_quota(const quota_request& request, peer_client::quota_done done) override
+    {
+        auto* quotas = node_.find<quota_service>();
+        if (quotas == nullptr) {
+            done(absl::UnavailableError("quotas have not started"));
+            return;
+        }
+        quotas->handle(request, std::move(done));
+    }
+
 private:
     kernel& node_;
     executor& executor_;
--- a/lib/node/ingress.cpp
+++ b/lib/node/ingress.cpp
@@ -176,10 +176,49 @@
     latency_histogram& latency = stats_.call_latency(call.service, call.priority);
     const auto retry_after = retry_delay(latency_target_of(*in_force, call),
                                          low_discrepancy_position(next_retry_after_++));
-    dispatcher_.dispatch(call, [this, opened, start, &latency, retry_after](call_result result) {
-        latency.record(ms_clock::now() - start);
-        answer(opened, make_routed_response(std::move(result), retry_after));
-    });
+    dispatch_routed(std::move(call), opened,
+                    [this, opened, start, &latency, retry_after](call_result result) {
+                        latency.record(ms_clock::now() - start);
+                        answer(opened, make_routed_response(std::move(result), retry_after));
+                    });
+}
+
+/// Dispatches a call, after the quota of its tenant has admitted it if it has one.
+void ingress::dispatch_routed(service_call call, const request_ptr& opened, call_done done)
+{
+    if (quotas_ == nullptr || !quotas_->limits(call.tenant)) {
+        dispatcher_.dispatch(call, std::move(done));
+        return;
+    }
+    // Shared, so that the body is not copied for the wait.
+    const auto shared = std::make_shared<const service_call>(std::move(call));
+    quotas_->admit(
+        *shared, [this, shared, opened, done = std::move(done)](const quota_verdict& verdict) {
+            if (!verdict.admitted) {
+                refuse_for_quota(*shared, opened, verdict);
+                return;
+            }
+            dispatcher_.dispatch(*shared,
+                                 [this, shared, credit = verdict.credit, done](call_result result) {
+                                     if (credit && result.outcome == call_outcome::not_run) {
+                                         quotas_->give_back(shared->tenant, *credit);
+                                     }
+                                     done(std::move(result));
+                                 });
+        });
+}
+
+void ingress::refuse_for_quota(const service_call& call, const request_ptr& opened,
+                               const quota_verdict& verdict)
+{
+    stats_.count(reason_event::refused, verdict.reason);
+    log_event(log_level::info, "request refused",
+              {{"request_id", opened->request_id},
+               {"reason", std::string{to_string(verdict.reason)}},
+               {"tenant", call.tenant},
+               {"retry_after_ms", verdict.retry_after.count()},
+               {"target", call.request.target.substr(0, max_logged_target)}});
+    answer(opened, make_routed_response(not_run(verdict.reason), verdict.retry_after));
 }
 
 void ingress::handle_call(const http_request& request, const request_ptr& opened)
--- a/lib/node/problem.cpp
+++ b/lib/node/problem.cpp
@@ -99,7 +99,7 @@
     if (result.outcome == call_outcome::completed) {
         return std::move(result.response);
     }
-    const int not_run_status = 503;
+    const int not_run_status = result.reason == reason_code::quota_exceeded ? 429 : 503;
     // A routed call has no idempotency key, to which a status like 409 could refer.
     const bool is_late = status_of(result.outcome, result.reason) == 504;
     const int unknown_status = is_late ? 504 : 502;
--- /dev/null
+++ b/lib/tenancy/quota_view.cpp
@@ -0,0 +1,176 @@
+#include "chestnutstand/tenancy/quota_view.h"
+
+#include "chestnutstand/membership/member_order.h"
+
+#include <openssl/sha.h>
+
+#include <algorithm>
+#include <array>
+#include <cstring>
+#include <set>
+#include <string>
+
+namespace chestnutstand {
+namespace {
+
+/// Time after the start in which gossip brings the member table to a new node.
+constexpr milliseconds settle_time{3'000};
+/// A member of a cluster receives messages several times a second. After this silence it counts as
+/// cut off, before other members declare it dead.
+constexpr milliseconds max_silence{2'000};
+/// After a partition has healed, the views of the two sides differ for some seconds. The owner of
+/// one side grants the share of its side for that long, as the owner of the other may do the same.
+constexpr milliseconds share_rise_delay{10'000};
+/// Members that are lost within this time of each other are taken to be on one side of a partition.
+constexpr milliseconds loss_group_span{15'000};
+/// From the probe of a member that does not answer to its death, plus a margin.
+constexpr milliseconds detection_time{4'000};
+constexpr milliseconds probe_period{1'000};
+constexpr milliseconds max_loss_delay{30'000};
+
+/// Weight of a member in the rendezvous hashing of a tenant. All nodes have to agree on it, so it
+/// must not depend on the platform.
+std::uint64_t weight_of(std::string_view tenant, std::uint64_t instance)
+{
+    std::string input{tenant};
+    constexpr unsigned bits_per_byte = 8;
+    for (unsigned byte = 0; byte < sizeof(instance); ++byte) {
+        input.push_back(static_cast<char>((instance >> (bits_per_byte * byte)) & 0xffU));
+    }
+    std::array<unsigned char, SHA256_DIGEST_LENGTH> digest{};
+    SHA256(reinterpret_cast<const unsigned char*>(input.data()), input.size(), digest.data());
+    std::uint64_t weight = 0;
+    for (unsigned byte = 0; byte < sizeof(weight); ++byte) {
+        weight = (weight << bits_per_byte) | digest.at(byte);
+    }
+    return weight;
+}
+
+} // namespace
+
+/// A partition that cuts off m of N members takes the smaller side about N / m probe periods to
+/// notice. A single member that is cut off stops to grant for its silence before others declare it
+/// dead, and needs no delay.
+milliseconds quota_view::loss_delay(const lost_member& lost_owner) const
+{
+    std::size_t group = 0;
+    for (const lost_member& other : lost) {
+        const milliseconds distance = other.since > lost_owner.since
+                                          ? other.since - lost_owner.since
+                                          : lost_owner.since - other.since;
+        group += distance <= loss_group_span ? 1U : 0U;
+    }
+    group += static_cast<std::size_t>(
+        std::count_if(live.begin(), live.end(), [](const auto& member) { return member.suspect; }));
+    if (group <= 1) {
+        return milliseconds{0};
+    }
+    return detection_time + std::min(max_loss_delay, probe_period * (static_cast<double>(known) /
+                                                                     static_cast<double>(group)));
+}
+
+quota_view::choice quota_view::choose(const std::string& tenant) const
+{
+    const std::lock_guard lock{cache_->mutex};
+    const auto found = cache_->choices.find(tenant);
+    if (found != cache_->choices.end()) {
+        return found->second;
+    }
+    return cache_->choices.emplace(tenant, compute_choice(tenant)).first->second;
+}
+
+quota_view::choice quota_view::compute_choice(const std::string& tenant) const
+{
+    choice chosen;
+    std::uint64_t owner_weight = 0;
+    std::uint64_t predecessor_weight = 0;
+    // A draining member of higher weight was the owner until its drain. Otherwise a new owner has
+    // displaced the member of the next lower weight.
+    const auto offer_as_predecessor = [&](const node_reference& node, std::uint64_t weight) {
+        if (!chosen.predecessor || weight > predecessor_weight) {
+            chosen.predecessor = node;
+            predecessor_weight = weight;
+        }
+    };
+    for (const live_member& candidate : live) {
+        const std::uint64_t weight = weight_of(tenant, candidate.node.instance);
+        if (candidate.draining || (chosen.owner && weight <= owner_weight)) {
+            offer_as_predecessor(candidate.node, weight);
+            continue;
+        }
+        if (chosen.owner) {
+            offer_as_predecessor(*chosen.owner, owner_weight);
+        }
+        chosen.owner = candidate.node;
+        owner_weight = weight;
+    }
+    for (const lost_member& candidate : lost) {
+        if (chosen.owner && weight_of(tenant, candidate.instance) > owner_weight) {
+            chosen.earliest_grant =
+                std::max(chosen.earliest_grant, candidate.since + loss_delay(candidate));
+        }
+    }
+    return chosen;
+}
+
+std::shared_ptr<const quota_view> quota_view_tracker::update(const std::vector<member>& members,
+                                                             milliseconds silence, time_point now)
+{
+    auto view = std::make_shared<quota_view>();
+    view->self = self_;
+    view->updated = now;
+    // A process at the address of another one has replaced it.
+    std::set<std::pair<std::string, std::uint16_t>> alive_addresses;
+    for (const member& known : members) {
+        if (known.state == liveness::alive) {
+            alive_addresses.emplace(known.node.address, known.gossip_port);
+        }
+    }
+    const auto is_replaced = [&](const member& known) {
+        return known.state != liveness::alive &&
+               alive_addresses.count({known.node.address, known.gossip_port}) != 0U;
+    };
+    std::vector<std::pair<std::uint64_t, bool>> live;
+    std::erase_if(returned_,
+                  [now](const auto& entry) { return entry.second + share_rise_delay < now; });
+    for (const member& known : members) {
+        if (!is_live(known) || is_replaced(known)) {
+            continue;
+        }
+        const bool suspect = known.state == liveness::suspect && known.node.instance != self_;
+        view->live.push_back({known.node, known.draining, suspect});
+        live.emplace_back(known.node.instance, known.draining);
+        if (lost_since_.count(known.node.instance) != 0U) {
+            returned_[known.node.instance] = now;
+        }
+        view->seen += suspect || returned_.count(known.node.instance) != 0U ? 0U : 1U;
+    }
+    std::unordered_map<std::uint64_t, time_point> lost_since;
+    for (const member& known : members) {
+        if (known.state != liveness::dead || is_replaced(known)) {
+            continue;
+        }
+        const auto found = lost_since_.find(known.node.instance);
+        const time_point since = found == lost_since_.end() ? now : found->second;
+        lost_since.emplace(known.node.instance, since);
+        view->lost.push_back({known.node.instance, since});
+    }
+    lost_since_ = std::move(lost_since);
+    std::sort(live.begin(), live.end());
+    if (live != live_) {
+        live_ = std::move(live);
+        changed_ = now;
+    }
+    view->changed = changed_;
+    view->known = static_cast<std::uint32_t>(view->live.size() + view->lost.size());
+    const bool alone = view->known <= 1;
+    view->settled = now - started_ >= settle_time && (alone || silence <= max_silence);
+    // The delay after a loss depends on the suspects as well.
+    if (last_ && last_->live == view->live && last_->lost == view->lost) {
+        view->cache_ = last_->cache_;
+    }
+    last_ = view;
+    return view;
+}
+
+} // namespace chestnutstand
--- a/lib/transport/grpc_node_server.cpp
+++ b/lib/transport/grpc_node_server.cpp
@@ -125,6 +125,21 @@
         return reactor;
     }
 
+    grpc::ServerUnaryReactor* AcquireQuota(grpc::CallbackServerContext* context,
+                                           const wire::QuotaRequest* request,
+                                           wire::QuotaReply* reply) override
+    {
+        auto* reactor = context->DefaultReactor();
+        handler_.acquire_quota(from_wire(*request),
+                               [reactor, reply](const absl::StatusOr<quota_reply>& decision) {
+                                   if (decision.ok()) {
+                                       *reply = to_wire(*decision);
+                                   }
+                                   reactor->Finish(to_grpc(decision.status()));
+                               });
+        return reactor;
+    }
+
 private:
     node_handler& handler_;
 };
--- a/lib/transport/grpc_peer_client.cpp
+++ b/lib/transport/grpc_peer_client.cpp
@@ -140,6 +140,17 @@
             on_reply(state, std::move(done), [](const auto& reply) { return from_wire(reply); }));
     }
 
+    void acquire_quota(const node_reference& target, const quota_request& request,
+                       milliseconds timeout, quota_done done) override
+    {
+        auto state = std::make_shared<unary_call<wire::QuotaRequest, wire::QuotaReply>>();
+        state->request = to_wire(request);
+        state->context.set_deadline(system_deadline(timeout));
+        stub_of(target)->async()->AcquireQuota(
+            &state->context, &state->request, &state->reply,
+            on_reply(state, std::move(done), [](const auto& reply) { return from_wire(reply); }));
+    }
+
 private:
     using stub_ptr = std::shared_ptr<wire::NodeService::Stub>;
 
--- a/lib/transport/http_node_server.cpp
+++ b/lib/transport/http_node_server.cpp
@@ -77,6 +77,9 @@
         else if (request.target == node_path::members) {
             members(request, response);
         }
+        else if (request.target == node_path::quota) {
+            quota(request, response);
+        }
         else {
             response->send({status_not_found, {}, "no such call"});
         }
@@ -140,6 +143,14 @@
         }
     }
 
+    void quota(const http_request& request, const responder_ptr& response)
+    {
+        wire::QuotaRequest message;
+        if (parse_body(request, response, message)) {
+            handler_.acquire_quota(from_wire(message), make_reply_callback<quota_reply>(response));
+        }
+    }
+
     node_handler& handler_;
 };
 
--- a/lib/transport/http_peer_client.cpp
+++ b/lib/transport/http_peer_client.cpp
@@ -128,6 +128,13 @@
                                         std::move(done));
     }
 
+    void acquire_quota(const node_reference& target, const quota_request& request,
+                       milliseconds timeout, quota_done done) override
+    {
+        query<wire::QuotaReply>(target, node_path::quota, to_wire(request), timeout, false,
+                                std::move(done));
+    }
+
 private:
     template <typename Request>
     static http_request make_request(const char* path, const Request& request)
--- a/lib/transport/node_call_paths.h
+++ b/lib/transport/node_call_paths.h
@@ -12,6 +12,7 @@
 inline constexpr const char* probe = "/probe";
 inline constexpr const char* changes = "/changes";
 inline constexpr const char* members = "/members";
+inline constexpr const char* quota = "/quota";
 } // namespace node_path
 
 /// Added to a call's deadline, so that the executor's own result, such as a timeout of its
--- a/lib/transport/wire_convert.cpp
+++ b/lib/transport/wire_convert.cpp
@@ -67,6 +67,9 @@
                                         wire::SETTLE_FENCED, wire::SETTLE_UNKNOWN,
                                         wire::SETTLE_WRONG_INSTANCE};
 
+constexpr std::array wire_quota_kinds{wire::QUOTA_ACQUIRE, wire::QUOTA_RELAYED,
+                                      wire::QUOTA_TAKE_OVER};
+
 /// Enumerator for a wire value; the fallback for a value that this version does not know.
 template <typename Values, typename Value, typename Enum>
 Enum value_from_wire(const Values& values, Value wanted, Enum fallback)
@@ -253,4 +256,43 @@
     return {message.members().begin(), message.members().end()};
 }
 
+wire::QuotaRequest to_wire(const quota_request& request)
+{
+    wire::QuotaRequest message;
+    message.set_tenant(request.tenant);
+    message.set_tokens(request.tokens);
+    message.set_document_version(request.document_version);
+    message.set_kind(wire_quota_kinds.at(static_cast<std::size_t>(request.kind)));
+    message.set_sender(request.sender);
+    message.set_members_known(request.members_known);
+    return message;
+}
+
+quota_request from_wire(const wire::QuotaRequest& message)
+{
+    // An unknown kind is read as relayed, which is never passed on.
+    return {message.tenant(),
+            message.tokens(),
+            message.document_version(),
+            value_from_wire(wire_quota_kinds, message.kind(), quota_request_kind::relayed),
+            message.sender(),
+            message.members_known()};
+}
+
+wire::QuotaReply to_wire(const quota_reply& reply)
+{
+    wire::QuotaReply message;
+    message.set_granted(reply.granted);
+    message.set_retry_after_ms(reply.retry_after.count());
+    message.set_decided(reply.decided);
+    return message;
+}
+
+quota_reply from_wire(const wire::QuotaReply& message)
+{
+    // Written so that a value that is not a number is read as 0.
+    const double delay_ms = message.retry_after_ms() > 0.0 ? message.retry_after_ms() : 0.0;
+    return {message.granted(), milliseconds{delay_ms}, message.decided()};
+}
+
 } // namespace chestnutstand
--- a/lib/transport/wire_convert.h
+++ b/lib/transport/wire_convert.h
@@ -26,4 +26,10 @@
 wire::SyncMembersMessage to_wire(const std::vector<std::string>& members);
 std::vector<std::string> from_wire(const wire::SyncMembersMessage& message);
 
+wire::QuotaRequest to_wire(const quota_request& request);
+quota_request from_wire(const wire::QuotaRequest& message);
+
+wire::QuotaReply to_wire(const quota_reply& reply);
+quota_reply from_wire(const wire::QuotaReply& message);
+
 } // namespace chestnutstand
--- a/unittests/transport/node_server_test.cpp
+++ b/unittests/transport/node_server_test.cpp
@@ -62,7 +62,18 @@
     {
         done(std::move(members));
     }
+    void acquire_quota(const quota_request& request, peer_client::quota_done done) override
+    {
+        const std::lock_guard lock{mutex_};
+        quota_request_ = request;
+        done(quota_reply{request.tokens / 2, milliseconds{12.5}, true});
+    }
 
+    quota_request received_quota_request() const
+    {
+        const std::lock_guard lock{mutex_};
+        return quota_request_;
+    }
     void hold_calls() { hold_calls_ = true; }
     int executed() const
     {
@@ -87,6 +98,7 @@
     mutable std::mutex mutex_;
     std::atomic<bool> hold_calls_ = false;
     int executed_ = 0;
+    quota_request quota_request_;
     std::shared_ptr<cancellation> cancel_;
     std::vector<call_done> held_calls_;
 };
@@ -146,6 +158,39 @@
     EXPECT_EQ(execute(*client_, other, make_call()).get().reason, reason_code::wrong_instance);
 }
 
+void expect_quota_round_trip(peer_client& client, const node_reference& target,
+                             const recording_handler& handler)
+{
+    std::promise<absl::StatusOr<quota_reply>> ended;
+    client.acquire_quota(target, {"acme", 7, 5, quota_request_kind::take_over, 99, 59},
+                         milliseconds{10'000}, [&](const auto& reply) { ended.set_value(reply); });
+    const auto reply = ended.get_future().get();
+    ASSERT_TRUE(reply.ok()) << reply.status();
+    EXPECT_EQ(reply->granted, 3U);
+    EXPECT_EQ(reply->retry_after, milliseconds{12.5});
+    EXPECT_TRUE(reply->decided);
+    const quota_request received = handler.received_quota_request();
+    EXPECT_EQ(received.tenant, "acme");
+    EXPECT_EQ(received.tokens, 7U);
+    EXPECT_EQ(received.document_version, 5U);
+    EXPECT_EQ(received.kind, quota_request_kind::take_over);
+    EXPECT_EQ(received.sender, 99U);
+    EXPECT_EQ(received.members_known, 59U);
+}
+
+// Guards against a field of a request for tokens that one of the carriers loses.
+TEST_F(node_server_test, both_carriers_carry_a_quota_request_and_its_reply)
+{
+    expect_quota_round_trip(*client_, target(), handler_);
+    recording_handler handler;
+    const auto server = make_http_node_server("127.0.0.1", 0, handler);
+    ASSERT_TRUE(server->start().ok());
+    const auto http = make_http_client();
+    const auto client = make_http_peer_client(*http);
+    expect_quota_round_trip(*client, {instance, "127.0.0.1", server->port()}, handler);
+    server->stop(milliseconds{1'000});
+}
+
 // Guards against an unknown outcome for a call that was never sent.
 TEST_F(node_server_test, a_peer_that_was_never_reachable_did_not_run_the_call)
 {
