Let the holder of a bucket grant until it is taken over

A drained owner's tokens went to a successor by the views of two nodes that differed, and requests were refused in calm meanwhile: 4 to 253 in five simulated rolling restarts before, none after.

--- a/include/chestnutstand/tenancy/quota_owner.h
+++ b/include/chestnutstand/tenancy/quota_owner.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace chestnutstand {
 
@@ -29,11 +30,11 @@
     enum class action : std::uint8_t {
         reply,
         relay,     ///< Pass the request on to the peer.
-        take_over, ///< Ask the peer, the former owner, for its tokens; then decide again.
+        take_over, ///< Ask the peers, the former owners, for their tokens; then decide again.
     };
     action next = action::reply;
     quota_reply reply;
-    node_reference peer;
+    std::vector<node_reference> peers;
 };
 
 /// The token buckets of the tenants whose quota this node grants. A bucket belongs to one node at a
@@ -80,6 +81,8 @@
 
     std::unordered_map<std::string, bucket> buckets_;
     std::unordered_map<std::string, take_over> take_overs_;
+    /// When another node took the bucket of a tenant over. This node may not know that node yet.
+    std::unordered_map<std::string, time_point> ceded_;
     /// Highest number of members that a requester has known recently. It makes up for what a node
     /// that has restarted in a partition does not know.
     std::uint32_t reported_known_ = 0;
--- a/include/chestnutstand/tenancy/quota_service.h
+++ b/include/chestnutstand/tenancy/quota_service.h
@@ -90,6 +90,8 @@
     entry& entry_of(const std::string& tenant);
     void run(const std::string& tenant, effects&& todo);
     void send_question(const std::string& tenant, std::uint32_t tokens);
+    /// Asks the stand-in of the owner after the owner has replied that it cannot decide.
+    void ask_stand_in(quota_request request, peer_client::quota_done done);
     void on_reply(const std::string& tenant, std::uint32_t asked,
                   const std::optional<quota_reply>& reply);
     void refuse_or_fall_back(entry& held, const quota_limit& limit, std::uint32_t members,
@@ -97,7 +99,8 @@
     void withdraw(const std::string& tenant, std::uint64_t id);
 
     void decide(const quota_request& request, const std::shared_ptr<peer_client::quota_done>& done);
-    void take_over(const quota_request& request, const node_reference& predecessor);
+    void take_over(const quota_request& request, const std::vector<node_reference>& predecessors);
+    void finish_take_over(const std::string& tenant, const std::optional<quota_reply>& reply);
     void count_fallback(bool admitted);
 
     const std::uint64_t self_;
--- a/include/chestnutstand/tenancy/quota_view.h
+++ b/include/chestnutstand/tenancy/quota_view.h
@@ -39,8 +39,10 @@
     struct choice {
         /// Nothing if no member can be the owner.
         std::optional<node_reference> owner;
-        /// Member that may have been the owner until now, if there is one.
-        std::optional<node_reference> predecessor;
+        /// Member that would be the owner without it. It grants until a new owner is ready.
+        std::optional<node_reference> stand_in;
+        /// Members that may have been the owner until now.
+        std::vector<node_reference> predecessors;
         /// Time until which a lost former owner may still grant.
         time_point earliest_grant;
     };
--- a/lib/tenancy/quota_owner.cpp
+++ b/lib/tenancy/quota_owner.cpp
@@ -15,6 +15,8 @@
 constexpr milliseconds take_over_limit{8'000};
 /// Longer than the views of the members differ in calm.
 constexpr milliseconds idle_limit{3'000};
+/// Time in which gossip tells a former owner of its successor.
+constexpr milliseconds ceded_memory{5'000};
 constexpr milliseconds refusal_window{1'000};
 constexpr double ms_per_s = 1'000.0;
 
@@ -23,6 +25,11 @@
     return {quota_decision::action::reply, reply, {}};
 }
 
+quota_decision relay_to(const node_reference& peer)
+{
+    return {quota_decision::action::relay, {}, {peer}};
+}
+
 quota_decision undecided()
 {
     return make_reply({0, milliseconds{0}, false});
@@ -102,6 +109,7 @@
     }
     const auto chosen = view.choose(request.tenant);
     if (request.kind == quota_request_kind::take_over) {
+        ceded_[request.tenant] = now;
         const auto found = buckets_.find(request.tenant);
         if (found == buckets_.end()) {
             return undecided();
@@ -116,23 +124,20 @@
     const bool owns = chosen.owner->instance == view.self;
     const bool is_relayed = request.kind == quota_request_kind::relayed;
     if (!view.settled) {
-        const auto& next = owns ? chosen.predecessor : chosen.owner;
-        return !next || is_relayed ? undecided()
-                                   : quota_decision{quota_decision::action::relay, {}, *next};
-    }
-    // A new owner that has not settled relays to the predecessor, which grants until the take-over.
-    const bool stands_in = is_relayed && chosen.predecessor &&
-                           chosen.predecessor->instance == view.self &&
-                           chosen.owner->instance == request.sender;
+        const auto& next = owns ? chosen.stand_in : chosen.owner;
+        return !next || is_relayed ? undecided() : relay_to(*next);
+    }
+    // Whoever holds the bucket grants until another node takes it over, whatever the views say.
+    if (const auto held = buckets_.find(request.tenant); held != buckets_.end()) {
+        return make_reply(grant(held->second, request.tokens, scale(limit, view, now), now));
+    }
+    // A new owner that has not settled relays to its stand-in, which grants until the take-over.
+    const bool stands_in = is_relayed && chosen.owner->instance == request.sender &&
+                           chosen.stand_in && chosen.stand_in->instance == view.self;
     if (owns || stands_in) {
         return decide_as_owner(request, view, chosen, limit, now);
     }
-    if (const auto left = buckets_.find(request.tenant);
-        left != buckets_.end() && now - left->second.used > idle_limit) {
-        buckets_.erase(left);
-    }
-    return is_relayed ? undecided()
-                      : quota_decision{quota_decision::action::relay, {}, *chosen.owner};
+    return is_relayed ? undecided() : relay_to(*chosen.owner);
 }
 
 quota_decision quota_owner::decide_as_owner(const quota_request& request, const quota_view& view,
@@ -140,14 +145,20 @@
                                             const quota_limit& limit, time_point now)
 {
     const quota_limit scaled = scale(limit, view, now);
-    if (const auto found = buckets_.find(request.tenant); found != buckets_.end()) {
-        return make_reply(grant(found->second, request.tokens, scaled, now));
-    }
     if (now < chosen.earliest_grant) {
         return undecided();
     }
-    const bool owns = chosen.owner->instance == view.self;
-    if (!owns || !chosen.predecessor) {
+    const auto ceded = ceded_.find(request.tenant);
+    if (ceded != ceded_.end() && view.changed <= ceded->second &&
+        now - ceded->second < ceded_memory) {
+        return undecided();
+    }
+    std::vector<node_reference> former = chosen.predecessors;
+    if (chosen.owner->instance != view.self) {
+        former.push_back(*chosen.owner);
+        std::erase_if(former, [&](const auto& node) { return node.instance == view.self; });
+    }
+    if (former.empty()) {
         return make_reply(
             grant(start(request.tenant, saved_tokens(view, limit, now), view, limit, now),
                   request.tokens, scaled, now));
@@ -156,7 +167,7 @@
     if (!is_new && now - entry->second.failed < take_over_interval) {
         return undecided();
     }
-    return {quota_decision::action::take_over, {}, *chosen.predecessor};
+    return {quota_decision::action::take_over, {}, std::move(former)};
 }
 
 void quota_owner::on_taken_over(const std::string& tenant, const std::optional<quota_reply>& reply,
@@ -183,6 +194,7 @@
     std::erase_if(buckets_, [now](const auto& entry) {
         return now - entry.second.used > idle_limit && entry.second.tokens.full(now);
     });
+    std::erase_if(ceded_, [now](const auto& entry) { return now - entry.second >= ceded_memory; });
     std::erase_if(take_overs_, [now](const auto& entry) {
         return now - entry.second.started > take_over_limit + idle_limit;
     });
--- a/lib/tenancy/quota_service.cpp
+++ b/lib/tenancy/quota_service.cpp
@@ -176,12 +176,39 @@
         on_end(absl::UnavailableError("no member can own the quota"));
         return;
     }
+    const auto on_first_reply = [this, request, on_end](const absl::StatusOr<quota_reply>& reply) {
+        if (reply.ok() && !reply->decided) {
+            ask_stand_in(request, on_end);
+            return;
+        }
+        on_end(reply);
+    };
     if (chosen.owner->instance == self_) {
-        handle(request, on_end);
+        handle(request, on_first_reply);
         return;
     }
     stats_.counter("chestnutstand_quota_requests_total{kind=\"sent\"}")++;
-    environment_.ask(*chosen.owner, request, quota_reply_timeout, on_end);
+    environment_.ask(*chosen.owner, request, quota_reply_timeout, on_first_reply);
+}
+
+// While the members disagree about the owner, the former one grants from its bucket, which
+// the next one takes over.
+void quota_service::ask_stand_in(quota_request request, peer_client::quota_done done)
+{
+    const auto view = view_.load();
+    const auto chosen = view ? view->choose(request.tenant) : quota_view::choice{};
+    if (!chosen.owner || !chosen.stand_in) {
+        done(quota_reply{});
+        return;
+    }
+    request.kind = quota_request_kind::relayed;
+    request.sender = chosen.owner->instance;
+    if (chosen.stand_in->instance == self_) {
+        handle(request, std::move(done));
+        return;
+    }
+    stats_.counter("chestnutstand_quota_requests_total{kind=\"sent\"}")++;
+    environment_.ask(*chosen.stand_in, request, quota_reply_timeout, std::move(done));
 }
 
 void quota_service::on_reply(const std::string& tenant, std::uint32_t asked,
@@ -287,47 +314,76 @@
         relayed.kind = quota_request_kind::relayed;
         relayed.sender = self_;
         stats_.counter("chestnutstand_quota_requests_total{kind=\"relayed\"}")++;
-        environment_.ask(decision.peer, relayed, quota_reply_timeout * relay_timeout_share,
+        environment_.ask(decision.peers[0], relayed, quota_reply_timeout * relay_timeout_share,
                          [done](const absl::StatusOr<quota_reply>& reply) {
                              (*done)(reply.ok() ? *reply : quota_reply{});
                          });
         break;
     }
     case quota_decision::action::take_over:
-        take_over(request, decision.peer);
+        take_over(request, decision.peers);
         break;
     }
 }
 
-void quota_service::take_over(const quota_request& request, const node_reference& predecessor)
+void quota_service::take_over(const quota_request& request,
+                              const std::vector<node_reference>& predecessors)
 {
+    /// Replies of the predecessors. The first that had the bucket, or the last one, ends the
+    /// take-over.
+    struct collection {
+        std::mutex mutex;
+        std::size_t missing = 0;
+        bool failed = false;
+        bool ended = false;
+    };
     quota_request question = request;
     question.kind = quota_request_kind::take_over;
     question.sender = self_;
     question.tokens = all_tokens;
-    environment_.ask(
-        predecessor, question, quota_reply_timeout * relay_timeout_share,
-        [this, tenant = request.tenant, predecessor](const absl::StatusOr<quota_reply>& reply) {
-            const auto view = view_.load();
-            std::vector<pending_request> waiting;
-            {
-                const std::lock_guard lock{owner_mutex_};
-                owner_.on_taken_over(tenant, decided(reply), *view, limit_of(tenant),
-                                     environment_.now());
-                waiting = std::move(waiting_for_take_over_[tenant]);
-                waiting_for_take_over_.erase(tenant);
-            }
-            stats_.counter(reply.ok() ? "chestnutstand_quota_take_overs_total{end=\"replied\"}"
-                                      : "chestnutstand_quota_take_overs_total{end=\"failed\"}")++;
-            log_event(log_level::info, "quota taken over",
-                      {{"tenant", tenant},
-                       {"from", absl::StrCat(absl::Hex(predecessor.instance))},
-                       {"replied", reply.ok()},
-                       {"tokens", std::uint64_t{reply.ok() ? reply->granted : 0}}});
-            for (const auto& [waiting_request, waiting_done] : waiting) {
-                decide(waiting_request, waiting_done);
-            }
-        });
+    const auto replies = std::make_shared<collection>();
+    replies->missing = predecessors.size();
+    for (const node_reference& predecessor : predecessors) {
+        environment_.ask(predecessor, question, quota_reply_timeout * relay_timeout_share,
+                         [this, replies, tenant = request.tenant](const auto& reply) {
+                             {
+                                 const std::lock_guard lock{replies->mutex};
+                                 replies->failed = replies->failed || !reply.ok();
+                                 const bool found = reply.ok() && reply->decided;
+                                 if ((--replies->missing > 0 && !found) || replies->ended) {
+                                     return;
+                                 }
+                                 replies->ended = true;
+                             }
+                             // The node that had the bucket may be one that did not reply.
+                             finish_take_over(tenant,
+                                              reply.ok() && (reply->decided || !replies->failed)
+                                                  ? std::optional{*reply}
+                                                  : std::nullopt);
+                         });
+    }
+}
+
+void quota_service::finish_take_over(const std::string& tenant,
+                                     const std::optional<quota_reply>& reply)
+{
+    const auto view = view_.load();
+    std::vector<pending_request> waiting;
+    {
+        const std::lock_guard lock{owner_mutex_};
+        owner_.on_taken_over(tenant, reply, *view, limit_of(tenant), environment_.now());
+        waiting = std::move(waiting_for_take_over_[tenant]);
+        waiting_for_take_over_.erase(tenant);
+    }
+    stats_.counter(reply ? "chestnutstand_quota_take_overs_total{end=\"replied\"}"
+                         : "chestnutstand_quota_take_overs_total{end=\"failed\"}")++;
+    log_event(log_level::info, "quota taken over",
+              {{"tenant", tenant},
+               {"replied", reply.has_value()},
+               {"tokens", std::uint64_t{reply ? reply->granted : 0}}});
+    for (const auto& [request, done] : waiting) {
+        decide(request, done);
+    }
 }
 
 void quota_service::set_view(std::shared_ptr<const quota_view> view)
--- a/lib/tenancy/quota_view.cpp
+++ b/lib/tenancy/quota_view.cpp
@@ -28,6 +28,9 @@
 constexpr milliseconds probe_period{1'000};
 constexpr milliseconds max_loss_delay{30'000};
 
+/// Covers two changes of the owner of which not all members have heard.
+constexpr std::size_t max_predecessors = 2;
+
 /// Weight of a member in the rendezvous hashing of a tenant. All nodes have to agree on it, so it
 /// must not depend on the platform.
 std::uint64_t weight_of(std::string_view tenant, std::uint64_t instance)
@@ -81,28 +84,29 @@
 
 quota_view::choice quota_view::compute_choice(const std::string& tenant) const
 {
+    std::vector<std::pair<std::uint64_t, const live_member*>> ranking;
+    ranking.reserve(live.size());
+    for (const live_member& candidate : live) {
+        ranking.emplace_back(weight_of(tenant, candidate.node.instance), &candidate);
+    }
+    std::sort(ranking.rbegin(), ranking.rend());
     choice chosen;
     std::uint64_t owner_weight = 0;
-    std::uint64_t predecessor_weight = 0;
-    // A draining member of higher weight was the owner until its drain. Otherwise a new owner has
-    // displaced the member of the next lower weight.
-    const auto offer_as_predecessor = [&](const node_reference& node, std::uint64_t weight) {
-        if (!chosen.predecessor || weight > predecessor_weight) {
-            chosen.predecessor = node;
-            predecessor_weight = weight;
-        }
-    };
-    for (const live_member& candidate : live) {
-        const std::uint64_t weight = weight_of(tenant, candidate.node.instance);
-        if (candidate.draining || (chosen.owner && weight <= owner_weight)) {
-            offer_as_predecessor(candidate.node, weight);
+    // Draining members of higher weight were owners until their drain; a new owner has displaced
+    // the member of the next lower weight.
+    for (const auto& [weight, candidate] : ranking) {
+        if (!chosen.owner && !candidate->draining) {
+            chosen.owner = candidate->node;
+            owner_weight = weight;
             continue;
         }
-        if (chosen.owner) {
-            offer_as_predecessor(*chosen.owner, owner_weight);
+        const bool stands_in = chosen.owner && !chosen.stand_in && !candidate->draining;
+        if (stands_in) {
+            chosen.stand_in = candidate->node;
+        }
+        if (stands_in || chosen.predecessors.size() < max_predecessors) {
+            chosen.predecessors.push_back(candidate->node);
         }
-        chosen.owner = candidate.node;
-        owner_weight = weight;
     }
     for (const lost_member& candidate : lost) {
         if (chosen.owner && weight_of(tenant, candidate.instance) > owner_weight) {
