Count members by address and share what other nodes have known

Partitions with restarted nodes exceeded the bound: a restarted node does not know the other side. Nodes now tell each other how many members they have known. 600 random scripts hold for each of four seeds.

--- a/include/chestnutstand/tenancy/quota_owner.h
+++ b/include/chestnutstand/tenancy/quota_owner.h
@@ -49,6 +49,9 @@
     void on_taken_over(const std::string& tenant, const std::optional<quota_reply>& reply,
                        const quota_view& view, const quota_limit& limit, time_point now);
 
+    /// Records how many members another node has known.
+    void report_members(std::uint32_t known, time_point now);
+
     /// Drops the full buckets of tenants without requests.
     void drop_idle(time_point now);
 
@@ -83,8 +86,8 @@
     std::unordered_map<std::string, take_over> take_overs_;
     /// When another node took the bucket of a tenant over. This node may not know that node yet.
     std::unordered_map<std::string, time_point> ceded_;
-    /// Highest number of members that a requester has known recently. It makes up for what a node
-    /// that has restarted in a partition does not know.
+    /// Highest number of members that another node has reported recently. It makes up for what a
+    /// node that has restarted in a partition does not know.
     std::uint32_t reported_known_ = 0;
     time_point reported_at_;
     /// When all buckets were dropped after a pause of the process.
--- a/include/chestnutstand/tenancy/quota_view.h
+++ b/include/chestnutstand/tenancy/quota_view.h
@@ -55,9 +55,9 @@
     bool settled = false;
     std::vector<live_member> live;
     std::vector<lost_member> lost;
-    /// Live members without suspects and without those that were lost until some seconds ago.
+    /// Addresses of live members without suspects and without those that were lost until some seconds ago.
     std::uint32_t seen = 0;
-    /// Live and lost members.
+    /// Addresses of live and lost members.
     std::uint32_t known = 0;
 
     /// Chooses the owner of a tenant by rendezvous hashing over the members that do not drain.
@@ -81,15 +81,20 @@
 /// Builds the view from the member list. Pure: the time is an argument.
 class quota_view_tracker {
 public:
-    quota_view_tracker(std::uint64_t self, time_point started) : self_{self}, started_{started} {}
+    quota_view_tracker(std::uint64_t self, time_point started)
+        : self_{self}, settling_since_{started}
+    {
+    }
 
-    /// `silence` is the time since the last message of another member.
+    /// `silence` is the time since the last message of another member, `others_recorded` whether
+    /// the member directory names other nodes.
     std::shared_ptr<const quota_view> update(const std::vector<member>& members,
-                                             milliseconds silence, time_point now);
+                                             milliseconds silence, bool others_recorded,
+                                             time_point now);
 
 private:
     std::uint64_t self_;
-    time_point started_;
+    time_point settling_since_;
     time_point changed_;
     std::vector<std::pair<std::uint64_t, bool>> live_;
     std::shared_ptr<const quota_view> last_;
--- a/include/chestnutstand/transport/peer_client.h
+++ b/include/chestnutstand/transport/peer_client.h
@@ -74,6 +74,8 @@
     milliseconds retry_after{0};
     /// Whether the receiver could decide; if not, nothing was granted.
     bool decided = false;
+    /// Number of members that the receiver has known, live or lost.
+    std::uint32_t members_known = 0;
 };
 
 /// Asynchronous client for other nodes. Each callback runs exactly once, on any thread, possibly
--- a/lib/membership/membership.cpp
+++ b/lib/membership/membership.cpp
@@ -201,6 +201,17 @@
     flush();
 }
 
+bool membership::impl::directory_names_others() const
+{
+    const member& self = options_.self;
+    const auto& records = directory_->records();
+    return std::any_of(records.begin(), records.end(), [&](const auto& entry) {
+        const member& recorded = entry.second.node;
+        return recorded.node.address != self.node.address ||
+               recorded.gossip_port != self.gossip_port;
+    });
+}
+
 void membership::impl::leave()
 {
     protocol_->leave();
@@ -271,6 +282,11 @@
     return impl_->protocol_ ? ms_clock::now() - impl_->protocol_->last_heard() : milliseconds{0};
 }
 
+bool membership::directory_names_others() const
+{
+    return impl_->directory_names_others();
+}
+
 void membership::handle_sync(const std::vector<std::string>& request,
                              const peer_client::members_done& reply)
 {
--- a/lib/tenancy/quota_owner.cpp
+++ b/lib/tenancy/quota_owner.cpp
@@ -7,7 +7,8 @@
 namespace chestnutstand {
 namespace {
 
-constexpr milliseconds report_retention{10'000};
+/// Partitions last minutes.
+constexpr milliseconds report_retention{300'000};
 /// Time until a take-over is tried again after one without a reply.
 constexpr milliseconds take_over_interval{250};
 /// A predecessor that is live and has not replied for this long does not grant either: requests
@@ -91,6 +92,14 @@
     return {granted, from.tokens.time_until(missing, now), true};
 }
 
+void quota_owner::report_members(std::uint32_t known, time_point now)
+{
+    if (known >= reported_known_ || reported_at_ + report_retention <= now) {
+        reported_known_ = known;
+        reported_at_ = now;
+    }
+}
+
 quota_decision quota_owner::decide(const quota_request& request, const quota_view& view,
                                    const quota_limit& limit, time_point now)
 {
@@ -100,10 +109,7 @@
         cleared_at_ = now;
         return undecided();
     }
-    if (request.members_known >= reported_known_ || reported_at_ + report_retention <= now) {
-        reported_known_ = request.members_known;
-        reported_at_ = now;
-    }
+    report_members(request.members_known, now);
     if (limit.rate_per_s <= 0.0 && request.kind != quota_request_kind::take_over) {
         return make_reply({request.tokens, milliseconds{0}, true});
     }
--- a/lib/tenancy/quota_service.cpp
+++ b/lib/tenancy/quota_service.cpp
@@ -89,7 +89,8 @@
     const auto view = view_.load();
     const time_point now = environment_.now();
     effects todo;
-    std::optional<std::uint64_t> waits;
+    std::uint64_t waiter_id = 0;
+    bool waits = false;
     {
         const std::lock_guard lock{entry_mutex_};
         entry& held = entry_of(call.tenant);
@@ -103,18 +104,20 @@
             todo.verdicts.emplace_back(std::move(done), refused(*refill));
         }
         else {
-            waits = next_waiter_++;
-            held.waiting.push_back({*waits, call.deadline, std::move(done)});
+            waiter_id = next_waiter_++;
+            waits = true;
+            held.waiting.push_back({waiter_id, call.deadline, std::move(done)});
             if (held.stock.in_fallback()) {
                 refuse_or_fall_back(held, limit, view ? view->known : 1, now, todo);
-                waits.reset();
+                waits = false;
             }
         }
         // A question is open already if others wait; the next one follows its reply.
         todo.question = held.stock.ask(held.waiting.size(), now);
     }
     if (waits && call.cancel) {
-        call.cancel->on_cancel([this, tenant = call.tenant, id = *waits] { withdraw(tenant, id); });
+        call.cancel->on_cancel(
+            [this, tenant = call.tenant, id = waiter_id] { withdraw(tenant, id); });
     }
     run(call.tenant, std::move(todo));
 }
@@ -307,6 +310,7 @@
         if (decision.reply.granted > 0) {
             stats_.counter("chestnutstand_quota_tokens_granted_total") += decision.reply.granted;
         }
+        decision.reply.members_known = view->known;
         (*done)(decision.reply);
         break;
     case quota_decision::action::relay: {
@@ -346,6 +350,10 @@
     for (const node_reference& predecessor : predecessors) {
         environment_.ask(predecessor, question, quota_reply_timeout * relay_timeout_share,
                          [this, replies, tenant = request.tenant](const auto& reply) {
+                             if (reply.ok()) {
+                                 const std::lock_guard lock{owner_mutex_};
+                                 owner_.report_members(reply->members_known, environment_.now());
+                             }
                              {
                                  const std::lock_guard lock{replies->mutex};
                                  replies->failed = replies->failed || !reply.ok();
--- a/lib/tenancy/quota_view.cpp
+++ b/lib/tenancy/quota_view.cpp
@@ -13,8 +13,11 @@
 namespace chestnutstand {
 namespace {
 
-/// Time after the start in which gossip brings the member table to a new node.
+/// Time after the start, a pause or a silence in which gossip brings the member table to a node.
 constexpr milliseconds settle_time{3'000};
+/// The same for a node that knows no other member although the member directory names some: it has
+/// probably been restarted behind a partition.
+constexpr milliseconds lone_settle_time{300'000};
 /// A member of a cluster receives messages several times a second. After this silence it counts as
 /// cut off, before other members declare it dead.
 constexpr milliseconds max_silence{2'000};
@@ -118,7 +121,8 @@
 }
 
 std::shared_ptr<const quota_view> quota_view_tracker::update(const std::vector<member>& members,
-                                                             milliseconds silence, time_point now)
+                                                             milliseconds silence,
+                                                             bool others_recorded, time_point now)
 {
     auto view = std::make_shared<quota_view>();
     view->self = self_;
@@ -130,6 +134,9 @@
             alive_addresses.emplace(known.node.address, known.gossip_port);
         }
     }
+    // Counted by address: a process and the one that it has replaced are one member.
+    std::set<std::pair<std::string, std::uint16_t>> seen;
+    std::set<std::pair<std::string, std::uint16_t>> known_addresses;
     const auto is_replaced = [&](const member& known) {
         return known.state != liveness::alive &&
                alive_addresses.count({known.node.address, known.gossip_port}) != 0U;
@@ -144,10 +151,13 @@
         const bool suspect = known.state == liveness::suspect && known.node.instance != self_;
         view->live.push_back({known.node, known.draining, suspect});
         live.emplace_back(known.node.instance, known.draining);
+        known_addresses.emplace(known.node.address, known.gossip_port);
         if (lost_since_.count(known.node.instance) != 0U) {
             returned_[known.node.instance] = now;
         }
-        view->seen += suspect || returned_.count(known.node.instance) != 0U ? 0U : 1U;
+        if (!suspect && returned_.count(known.node.instance) == 0U) {
+            seen.emplace(known.node.address, known.gossip_port);
+        }
     }
     std::unordered_map<std::uint64_t, time_point> lost_since;
     for (const member& known : members) {
@@ -158,6 +168,7 @@
         const time_point since = found == lost_since_.end() ? now : found->second;
         lost_since.emplace(known.node.instance, since);
         view->lost.push_back({known.node.instance, since});
+        known_addresses.emplace(known.node.address, known.gossip_port);
     }
     lost_since_ = std::move(lost_since);
     std::sort(live.begin(), live.end());
@@ -166,9 +177,16 @@
         changed_ = now;
     }
     view->changed = changed_;
-    view->known = static_cast<std::uint32_t>(view->live.size() + view->lost.size());
+    view->seen = static_cast<std::uint32_t>(seen.size());
+    view->known = static_cast<std::uint32_t>(known_addresses.size());
+    // After a pause of the process or a silence, the view may lack what the others have agreed on.
     const bool alone = view->known <= 1;
-    view->settled = now - started_ >= settle_time && (alone || silence <= max_silence);
+    const bool paused = last_ && now - last_->updated > max_quota_view_age;
+    if (paused || (!alone && silence > max_silence)) {
+        settling_since_ = now;
+    }
+    const bool is_cut_off = alone && others_recorded;
+    view->settled = now - settling_since_ >= (is_cut_off ? lone_settle_time : settle_time);
     // The delay after a loss depends on the suspects as well.
     if (last_ && last_->live == view->live && last_->lost == view->lost) {
         view->cache_ = last_->cache_;
--- a/lib/transport/wire_convert.cpp
+++ b/lib/transport/wire_convert.cpp
@@ -285,6 +285,7 @@
     message.set_granted(reply.granted);
     message.set_retry_after_ms(reply.retry_after.count());
     message.set_decided(reply.decided);
+    message.set_members_known(reply.members_known);
     return message;
 }
 
@@ -292,7 +293,7 @@
 {
     // Written so that a value that is not a number is read as 0.
     const double delay_ms = message.retry_after_ms() > 0.0 ? message.retry_after_ms() : 0.0;
-    return {message.granted(), milliseconds{delay_ms}, message.decided()};
+    return {message.granted(), milliseconds{delay_ms}, message.decided(), message.members_known()};
 }
 
 } // namespace chestnutstand
--- a/unittests/tenancy/quota_simulation.cpp
+++ b/unittests/tenancy/quota_simulation.cpp
@@ -9,7 +9,7 @@
 constexpr const char* tenant_name = "acme";
 constexpr double max_message_ms = 10.0;
 constexpr double max_gossip_ms = 1'000.0;
-constexpr double max_recovery_ms = 10'000.0;
+constexpr double max_heal_ms = 10'000.0;
 constexpr double max_apply_ms = 2'000.0;
 constexpr double min_detection_ms = 500.0;
 constexpr double ms_per_s = 1'000.0;
@@ -116,11 +116,14 @@
     if (reachable != held.reachable) {
         held.reachable = reachable;
         held.changed = now;
+        const bool was_cut_off = held.cut_off;
+        held.cut_off = !reachable && !connected(observer, about);
         const auto side =
             static_cast<double>(std::count(groups_.begin(), groups_.end(), groups_[observer]));
         const auto all = static_cast<double>(nodes_.size());
         held.detection = milliseconds{min_detection_ms} + random_time(ms_per_s * all / side);
-        held.recovery = random_time(held.state == liveness::dead ? max_recovery_ms : max_gossip_ms);
+        const bool is_retried = was_cut_off && held.state == liveness::dead;
+        held.recovery = random_time(max_gossip_ms) + (is_retried ? heal_delay_ : milliseconds{0});
     }
     const milliseconds elapsed = now - held.changed;
     if (reachable) {
@@ -178,10 +181,12 @@
             if (!reachable) {
                 // Not known to a process that has never reached it.
                 held.known_from = time_point::max();
+                held.cut_off = !connected(node, at);
             }
         }
         if (held.known_from == time_point::max() && reachable) {
-            held.known_from = now + random_time(max_recovery_ms);
+            held.known_from =
+                now + random_time(max_gossip_ms) + (held.cut_off ? heal_delay_ : milliseconds{0});
         }
         if (now < held.known_from) {
             continue;
@@ -196,7 +201,7 @@
         }
     }
     const milliseconds silence = alone ? now - self->heard : milliseconds{0};
-    self->quotas->set_view(self->tracker->update(members, silence, now));
+    self->quotas->set_view(self->tracker->update(members, silence, nodes_.size() > 1, now));
     self->quotas->drop_idle();
 }
 
@@ -266,6 +271,7 @@
 void quota_simulation::partition(const std::vector<int>& groups)
 {
     groups_ = groups;
+    heal_delay_ = random_time(max_heal_ms);
 }
 
 std::size_t quota_simulation::owner() const
--- a/unittests/tenancy/quota_simulation.h
+++ b/unittests/tenancy/quota_simulation.h
@@ -18,8 +18,8 @@
 
 /// Nodes with the real quota_service and quota_view_tracker in simulated time. Network and failure
 /// detection are modelled: messages take up to 10 ms, a member that does not answer is suspected
-/// after up to 1 s + N / (members of the observer's side) and dead 3 s later, and a member that is
-/// back is seen after up to 1 s (suspects) or 10 s (dead ones).
+/// after up to 1 s + N / (members of the observer's side) and dead 3 s later. A member that is back
+/// is seen after up to 1 s; after a partition, up to 10 s pass before a dead one is tried again.
 class quota_simulation {
 public:
     quota_simulation(std::size_t nodes, const quota_limit& limit, std::uint64_t seed);
@@ -58,6 +58,8 @@
         /// When the member was last reachable for the observer, or became reachable again.
         time_point changed;
         bool reachable = true;
+        /// Whether a partition made it unreachable.
+        bool cut_off = false;
         milliseconds detection{0};
         milliseconds recovery{0};
     };
@@ -95,6 +97,7 @@
     std::uint64_t next_instance_ = 1;
     std::vector<process_ptr> nodes_;
     std::vector<int> groups_;
+    milliseconds heal_delay_{0};
     std::vector<double> load_;
     std::vector<std::uint64_t> load_versions_;
     /// All processes, as callbacks may refer to one that has ended.
--- a/unittests/transport/node_server_test.cpp
+++ b/unittests/transport/node_server_test.cpp
@@ -66,7 +66,7 @@
     {
         const std::lock_guard lock{mutex_};
         quota_request_ = request;
-        done(quota_reply{request.tokens / 2, milliseconds{12.5}, true});
+        done(quota_reply{request.tokens / 2, milliseconds{12.5}, true, 83});
     }
 
     quota_request received_quota_request() const
@@ -169,6 +169,7 @@
     EXPECT_EQ(reply->granted, 3U);
     EXPECT_EQ(reply->retry_after, milliseconds{12.5});
     EXPECT_TRUE(reply->decided);
+    EXPECT_EQ(reply->members_known, 83U);
     const quota_request received = handler.received_quota_request();
     EXPECT_EQ(received.tenant, "acme");
     EXPECT_EQ(received.tokens, 7U);
