--- a/lib/tenancy/quota_service.cpp
+++ b/lib/tenancy/quota_service.cpp
@@ -12,6 +12,8 @@
 /// Retry-After of requests that were refused because the owner does not answer. By then, the
 /// members have mostly agreed on another one.
 constexpr milliseconds fallback_retry_after{1'000};
+/// Callers read 0 as permission to come back at once.
+constexpr milliseconds min_retry_after{10};
 /// A longer time says little about when tokens will be left.
 constexpr milliseconds max_retry_after{5'000};
 /// A request that passes through two nodes that are not ready takes up to three exchanges; each one
@@ -22,7 +24,7 @@
 
 quota_verdict refused(milliseconds retry_after)
 {
-    return {false, reason_code::quota_exceeded, std::min(retry_after, max_retry_after), {}};
+    return {false, reason_code::quota_exceeded, std::clamp(retry_after, min_retry_after, max_retry_after), {}};
 }
 
 quota_verdict admitted(const quota_credit& credit)
