--- a/include/chestnutstand/membership/membership.h
+++ b/include/chestnutstand/membership/membership.h
@@ -63,8 +63,8 @@
     std::vector<member> members() const;
     /// Time since the last gossip message of another member, or since the start if there was none.
     milliseconds time_since_last_message() const;
-    /// Whether the member directory, as last read, has records of other addresses than this node's.
-    bool directory_names_others() const;
+    /// Number of addresses in the member directory, as last read.
+    std::size_t recorded_addresses() const;
     /// Handles a SyncMembers request.
     void handle_sync(const std::vector<std::string>& request,
                      const peer_client::members_done& reply);
--- a/include/chestnutstand/tenancy/quota_view.h
+++ b/include/chestnutstand/tenancy/quota_view.h
@@ -55,9 +55,10 @@
     bool settled = false;
     std::vector<live_member> live;
     std::vector<lost_member> lost;
-    /// Addresses of live members without suspects and without those that were lost until some seconds ago.
+    /// Addresses of live members without suspects and without those that were lost until some
+    /// seconds ago.
     std::uint32_t seen = 0;
-    /// Addresses of live and lost members.
+    /// Addresses of live and lost members, after the start also of recorded ones.
     std::uint32_t known = 0;
 
     /// Chooses the owner of a tenant by rendezvous hashing over the members that do not drain.
@@ -82,18 +83,19 @@
 class quota_view_tracker {
 public:
     quota_view_tracker(std::uint64_t self, time_point started)
-        : self_{self}, settling_since_{started}
+        : self_{self}, started_{started}, settling_since_{started}
     {
     }
 
-    /// `silence` is the time since the last message of another member, `others_recorded` whether
-    /// the member directory names other nodes.
+    /// `silence` is the time since the last message of another member, `recorded` the number of
+    /// addresses in the member directory.
     std::shared_ptr<const quota_view> update(const std::vector<member>& members,
-                                             milliseconds silence, bool others_recorded,
+                                             milliseconds silence, std::size_t recorded,
                                              time_point now);
 
 private:
     std::uint64_t self_;
+    time_point started_;
     time_point settling_since_;
     time_point changed_;
     std::vector<std::pair<std::uint64_t, bool>> live_;
--- a/lib/membership/membership.cpp
+++ b/lib/membership/membership.cpp
@@ -8,6 +8,8 @@
 
 #include <algorithm>
 #include <optional>
+#include <set>
+#include <string>
 #include <utility>
 
 namespace chestnutstand {
@@ -201,15 +203,13 @@
     flush();
 }
 
-bool membership::impl::directory_names_others() const
+std::size_t membership::impl::recorded_addresses() const
 {
-    const member& self = options_.self;
-    const auto& records = directory_->records();
-    return std::any_of(records.begin(), records.end(), [&](const auto& entry) {
-        const member& recorded = entry.second.node;
-        return recorded.node.address != self.node.address ||
-               recorded.gossip_port != self.gossip_port;
-    });
+    std::set<std::pair<std::string, std::uint16_t>> addresses;
+    for (const auto& [instance, record] : directory_->records()) {
+        addresses.emplace(record.node.node.address, record.node.gossip_port);
+    }
+    return addresses.size();
 }
 
 void membership::impl::leave()
@@ -282,9 +282,9 @@
     return impl_->protocol_ ? ms_clock::now() - impl_->protocol_->last_heard() : milliseconds{0};
 }
 
-bool membership::directory_names_others() const
+std::size_t membership::recorded_addresses() const
 {
-    return impl_->directory_names_others();
+    return impl_->recorded_addresses();
 }
 
 void membership::handle_sync(const std::vector<std::string>& request,
--- a/lib/membership/membership_impl.h
+++ b/lib/membership/membership_impl.h
@@ -28,7 +28,7 @@
     absl::Status start();
     void flush();
     void leave();
-    bool directory_names_others() const;
+    std::size_t recorded_addresses() const;
     void handle_sync(const std::vector<std::string>& request,
                      const peer_client::members_done& reply);
     gossip_traffic traffic() const;
--- a/lib/node/components/quota_component.cpp
+++ b/lib/node/components/quota_component.cpp
@@ -63,7 +63,7 @@
         routes_ = std::move(routes);
         rebuilt_ = now;
         quotas_->set_view(tracker_->update(members.members(), members.time_since_last_message(),
-                                           members.directory_names_others(), now));
+                                           members.recorded_addresses(), now));
         quotas_->drop_idle();
     }
 
--- a/lib/tenancy/quota_service.cpp
+++ b/lib/tenancy/quota_service.cpp
@@ -24,7 +24,10 @@
 
 quota_verdict refused(milliseconds retry_after)
 {
-    return {false, reason_code::quota_exceeded, std::clamp(retry_after, min_retry_after, max_retry_after), {}};
+    return {false,
+            reason_code::quota_exceeded,
+            std::clamp(retry_after, min_retry_after, max_retry_after),
+            {}};
 }
 
 quota_verdict admitted(const quota_credit& credit)
--- a/lib/tenancy/quota_view.cpp
+++ b/lib/tenancy/quota_view.cpp
@@ -15,9 +15,10 @@
 
 /// Time after the start, a pause or a silence in which gossip brings the member table to a node.
 constexpr milliseconds settle_time{3'000};
-/// The same for a node that knows no other member although the member directory names some: it has
-/// probably been restarted behind a partition.
-constexpr milliseconds lone_settle_time{300'000};
+/// Time after the start in which all nodes of the member directory count as known: a node that was
+/// started behind a partition does not know the other side otherwise. Partitions last minutes;
+/// later, addresses of VMs that are gone for good would lower the share.
+constexpr milliseconds directory_use{300'000};
 /// A member of a cluster receives messages several times a second. After this silence it counts as
 /// cut off, before other members declare it dead.
 constexpr milliseconds max_silence{2'000};
@@ -122,7 +123,7 @@
 
 std::shared_ptr<const quota_view> quota_view_tracker::update(const std::vector<member>& members,
                                                              milliseconds silence,
-                                                             bool others_recorded, time_point now)
+                                                             std::size_t recorded, time_point now)
 {
     auto view = std::make_shared<quota_view>();
     view->self = self_;
@@ -178,15 +179,15 @@
     }
     view->changed = changed_;
     view->seen = static_cast<std::uint32_t>(seen.size());
-    view->known = static_cast<std::uint32_t>(known_addresses.size());
+    view->known = static_cast<std::uint32_t>(
+        std::max(known_addresses.size(), now - started_ < directory_use ? recorded : 0));
     // After a pause of the process or a silence, the view may lack what the others have agreed on.
-    const bool alone = view->known <= 1;
+    const bool alone = known_addresses.size() <= 1 && recorded <= 1;
     const bool paused = last_ && now - last_->updated > max_quota_view_age;
     if (paused || (!alone && silence > max_silence)) {
         settling_since_ = now;
     }
-    const bool is_cut_off = alone && others_recorded;
-    view->settled = now - settling_since_ >= (is_cut_off ? lone_settle_time : settle_time);
+    view->settled = now - settling_since_ >= settle_time;
     // The delay after a loss depends on the suspects as well.
     if (last_ && last_->live == view->live && last_->lost == view->lost) {
         view->cache_ = last_->cache_;
--- a/unittests/tenancy/quota_simulation.cpp
+++ b/unittests/tenancy/quota_simulation.cpp
@@ -201,7 +201,7 @@
         }
     }
     const milliseconds silence = alone ? now - self->heard : milliseconds{0};
-    self->quotas->set_view(self->tracker->update(members, silence, nodes_.size() > 1, now));
+    self->quotas->set_view(self->tracker->update(members, silence, nodes_.size(), now));
     self->quotas->drop_idle();
 }
 
--- a/unittests/tenancy/quota_view_test.cpp
+++ b/unittests/tenancy/quota_view_test.cpp
@@ -35,7 +35,7 @@
 
 std::shared_ptr<const quota_view> view_of(const std::vector<member>& members)
 {
-    return quota_view_tracker{self, start}.update(members, milliseconds{0}, false, settled_at);
+    return quota_view_tracker{self, start}.update(members, milliseconds{0}, 0, settled_at);
 }
 
 // Guards against nodes that choose different owners, and against one owner of all tenants.
@@ -44,7 +44,7 @@
     auto members = make_members(10);
     const auto view = view_of(members);
     std::reverse(members.begin(), members.end());
-    const auto other = quota_view_tracker{2, start}.update(members, {}, false, settled_at);
+    const auto other = quota_view_tracker{2, start}.update(members, {}, 0, settled_at);
     std::map<std::uint64_t, int> owned;
     for (int i = 0; i < 200; ++i) {
         const std::string tenant = "tenant-" + std::to_string(i);
@@ -81,7 +81,7 @@
     quota_view_tracker tracker{self, start};
     const auto members = make_members(3);
     const auto settled = [&](milliseconds silence, milliseconds at) {
-        return tracker.update(members, silence, true, start + at)->settled;
+        return tracker.update(members, silence, 3, start + at)->settled;
     };
     EXPECT_FALSE(settled(milliseconds{0}, milliseconds{1'000}));
     EXPECT_TRUE(settled(milliseconds{0}, milliseconds{3'500}));
@@ -91,13 +91,24 @@
     EXPECT_FALSE(settled(milliseconds{0}, milliseconds{20'000})) << "after a pause";
 }
 
-// Guards against a node that was restarted behind a partition and takes itself for the whole
-// cluster, and against a single node that never grants.
-TEST(quota_view, a_lone_node_is_settled_only_if_the_directory_names_no_other)
+// Guards against a node that was restarted behind a partition and takes its side for the whole
+// cluster, and against addresses that are gone for good and lower the share for ever.
+TEST(quota_view, counts_the_member_directory_after_the_start)
+{
+    quota_view_tracker tracker{self, start};
+    const auto side = make_members(2);
+    EXPECT_EQ(tracker.update(side, {}, 8, settled_at)->known, 8U);
+    EXPECT_EQ(tracker.update(side, {}, 8, start + milliseconds{400'000})->known, 2U);
+}
+
+// Guards against a single node that never grants because it hears no other.
+TEST(quota_view, a_single_node_is_settled)
 {
     const auto lone = make_members(1);
-    EXPECT_TRUE(quota_view_tracker(self, start).update(lone, {}, false, settled_at)->settled);
-    EXPECT_FALSE(quota_view_tracker(self, start).update(lone, {}, true, settled_at)->settled);
+    const auto view =
+        quota_view_tracker{self, start}.update(lone, milliseconds{3'000}, 1, settled_at);
+    EXPECT_TRUE(view->settled);
+    EXPECT_EQ(view->known, 1U);
 }
 
 // Guards against a lost member that counts as gone although it may run behind a partition, against
@@ -107,19 +118,19 @@
     quota_view_tracker tracker{self, start};
     auto members = make_members(4);
     members[3].state = liveness::dead;
-    auto view = tracker.update(members, {}, true, settled_at);
+    auto view = tracker.update(members, {}, 4, settled_at);
     EXPECT_EQ(view->seen, 3U);
     EXPECT_EQ(view->known, 4U);
     members[3].state = liveness::alive;
-    view = tracker.update(members, {}, true, settled_at + milliseconds{1'000});
+    view = tracker.update(members, {}, 4, settled_at + milliseconds{1'000});
     EXPECT_EQ(view->seen, 3U);
-    view = tracker.update(members, {}, true, settled_at + milliseconds{12'000});
+    view = tracker.update(members, {}, 4, settled_at + milliseconds{12'000});
     EXPECT_EQ(view->seen, 4U);
     members[3].state = liveness::dead;
     auto successor = make_member(9);
     successor.node.address = members[3].node.address;
     members.push_back(successor);
-    view = tracker.update(members, {}, true, settled_at + milliseconds{13'000});
+    view = tracker.update(members, {}, 4, settled_at + milliseconds{13'000});
     EXPECT_EQ(view->seen, 4U);
     EXPECT_EQ(view->known, 4U);
 }
