--- a/include/chestnutstand/node/ingress.h
+++ b/include/chestnutstand/node/ingress.h
@@ -6,6 +6,7 @@
 #include "chestnutstand/support/metrics.h"
 #include "chestnutstand/support/snapshot.h"
 #include "chestnutstand/tenancy/tenant_counters.h"
+#include "chestnutstand/tenancy/quota_service.h"
 #include "chestnutstand/transport/http_server.h"
 
 #include <atomic>
@@ -34,6 +35,9 @@
     ingress(ingress_options options, const snapshot<document>& in_force, dispatcher& dispatch,
             key_router* keys, metrics& stats);
 
+    /// Sets the quotas of routed calls, before the first request; null for none.
+    void set_quotas(quota_service* quotas) { quotas_ = quotas; }
+
     /// Handles one request and sends exactly one response to the responder.
     void handle(const http_request& request, const std::shared_ptr<responder>& response);
 
@@ -70,6 +74,9 @@
 
     request_ptr open(const http_request& request, const std::shared_ptr<responder>& response);
     void handle_routed(const http_request& request, const request_ptr& opened);
+    void dispatch_routed(service_call call, const request_ptr& opened, call_done done);
+    void refuse_for_quota(const service_call& call, const request_ptr& opened,
+                          const quota_verdict& verdict);
     void handle_call(const http_request& request, const request_ptr& opened);
     void handle_issue(const http_request& request, const request_ptr& opened);
     void handle_query(const http_request& request, const request_ptr& opened);
@@ -87,6 +94,7 @@
     const snapshot<document>& in_force_;
     dispatcher& dispatcher_;
     key_router* keys_;
+    quota_service* quotas_ = nullptr;
     metrics& stats_;
     tenant_counters tenants_;
     std::atomic<std::uint64_t> next_call_ = 0;
--- a/lib/membership/membership.cpp
+++ b/lib/membership/membership.cpp
@@ -8,6 +8,8 @@
 
 #include <algorithm>
 #include <optional>
+#include <set>
+#include <string>
 #include <utility>
 
 namespace chestnutstand {
@@ -215,6 +217,15 @@
     flush();
 }
 
+std::size_t membership::impl::recorded_addresses() const
+{
+    std::set<std::pair<std::string, std::uint16_t>> addresses;
+    for (const auto& [instance, record] : directory_->records()) {
+        addresses.emplace(record.node.node.address, record.node.gossip_port);
+    }
+    return addresses.size();
+}
+
 void membership::impl::leave()
 {
     protocol_->leave();
@@ -285,6 +296,11 @@
     return impl_->protocol_ ? ms_clock::now() - impl_->protocol_->last_heard() : milliseconds{0};
 }
 
+std::size_t membership::recorded_addresses() const
+{
+    return impl_->recorded_addresses();
+}
+
 void membership::handle_sync(const std::vector<std::string>& request,
                              const peer_client::members_done& reply)
 {
