Test pipelining at a node and bodies that libcurl must not repeat

The test of a node fails with may_overtake switched off: the requests of an idempotent route then reach the upstream one at a time.

--- a/tests/integration/routed_path_test.cpp
+++ b/tests/integration/routed_path_test.cpp
@@ -1,3 +1,4 @@
+#include "../../unittests/transport/raw_socket.h"
 #include "../support/fleet.h"
 
 #include "chestnutstand/transport/headers.h"
@@ -74,6 +75,38 @@
     EXPECT_EQ(get_status(without_upstream, "/view/1"), 404);
 }
 
+// Guards against pipelined requests that wait for each other although their route is idempotent,
+// and against those of another route that run before the ones ahead are answered.
+TEST_F(routed_path, handles_pipelined_requests_as_their_route_allows)
+{
+    const auto& node = fleet_.add("east", "alpha");
+    int version = 0;
+    for (const std::string kind : {"non_idempotent", "upload", "idempotent"}) {
+        const std::string prefix = "/" + kind + "/";
+        write_document(++version, prefix, kind);
+        ASSERT_TRUE(eventually([&] { return get_status(node, prefix + "0") == 200; }));
+        ASSERT_TRUE(fleet_.control(node.upstream_port, "/behaviour", {{"service_ms", 800}}));
+        const auto client = raw_socket::connect_to(node.caller_port);
+        std::string requests;
+        for (int i = 1; i <= 3; ++i) {
+            requests += "GET " + prefix + std::to_string(i) +
+                        " HTTP/1.1\r\nHost: shop.example\r\nChestnut-Request-Id: " + kind +
+                        std::to_string(i) + "\r\n\r\n";
+        }
+        client.send(requests);
+        const auto received = client.receive_until_text("HTTP/1.1 200", 3);
+        EXPECT_EQ(received.find("HTTP/1.1 5"), std::string::npos) << received;
+        const auto peak = fleet_.counters(node)["peak_in_flight"].get<int>();
+        if (kind == "idempotent") {
+            EXPECT_GT(peak, 1);
+        }
+        else {
+            EXPECT_EQ(peak, 1) << kind;
+        }
+        ASSERT_TRUE(fleet_.control(node.upstream_port, "/behaviour", {{"service_ms", 1}}));
+    }
+}
+
 // Guards against a node that reports that it is ready while it has no document and refuses all
 // requests.
 TEST_F(routed_path, is_ready_once_there_is_a_document)
--- a/unittests/config/document_review_test.cpp
+++ b/unittests/config/document_review_test.cpp
@@ -27,6 +27,7 @@
 std::vector<std::string> texts(const std::vector<document_finding>& findings)
 {
     std::vector<std::string> result;
+    result.reserve(findings.size());
     for (const auto& found : findings) {
         result.push_back(std::string{finding_kind_names.name(found.kind)} + ": " + found.entry +
                          ": " + found.text);
--- a/unittests/transport/http_client_test.cpp
+++ b/unittests/transport/http_client_test.cpp
@@ -159,6 +159,24 @@
     }
 }
 
+// Guards against an upload that runs twice: libcurl sends the body again, too.
+TEST(http_client, never_repeats_a_request_with_a_body)
+{
+    fake_server server{[](raw_socket& connection, int, int request) {
+        return request == 0 && connection.send(ok("first"));
+    }};
+    const auto client = make_http_client();
+    const auto post = [&] {
+        std::promise<http_error> ended;
+        client->send(server.url(), {"POST", "/", {}, std::string(10'000, 'x')}, long_timeout,
+                     [&](const http_result& result) { ended.set_value(result.error); });
+        return ended.get_future().get();
+    };
+    EXPECT_EQ(post(), http_error::none);
+    EXPECT_EQ(post(), http_error::connection_lost);
+    EXPECT_EQ(server.requests(), 2);
+}
+
 // Guards against a late response that is attributed to a later request.
 TEST(http_client, never_takes_a_late_response_for_another)
 {
