Log and count abandoned requests

Operators see when an upstream gets no calls because of requests that were cancelled or timed out there.

Result: node_test and admission_test pass.

--- a/include/chestnutstand/admission/admission_queue.h
+++ b/include/chestnutstand/admission/admission_queue.h
@@ -92,6 +92,13 @@
     /// hold; see held_requests_per_slot.
     void set_abandoned(std::uint32_t count) { abandoned_ = count; }
 
+    /// Whether no request starts because of the abandoned ones.
+    bool full_of_abandoned() const
+    {
+        return abandoned_ > 0 &&
+               in_flight() + abandoned_ >= held_requests_per_slot * limit_.slots();
+    }
+
     /// Sets the requests per second that the upstream takes; nullopt for no limit.
     void set_rate_limit(std::optional<double> per_second, time_point now)
     {
--- a/include/chestnutstand/node/executor.h
+++ b/include/chestnutstand/node/executor.h
@@ -189,6 +189,8 @@
     request_end end_of(const http_result& result) const;
     /// Counts a routed call that was abandoned; the mutex must be held.
     void track_abandoned(const service_call& call, const request_end& end, time_point now);
+    /// Passes the count of abandoned requests to the queue; the mutex must be held.
+    void update_abandoned(time_point now);
     void observe_slowdown(const http_result& result, time_point now);
     /// Observes what a response of an upstream process says about that process.
     void observe_upstream_state(const local_upstream& sender, const http_response& response);
@@ -226,6 +228,7 @@
     std::uint64_t last_id_ = 0;
     attempt_ledger attempts_;
     abandoned_requests abandoned_;
+    bool full_of_abandoned_ = false;
     upstream_slowdown slowdown_;
     /// What the upstream process has said of itself.
     upstream_statement statement_;
--- a/lib/admission/admission_queue.cpp
+++ b/lib/admission/admission_queue.cpp
@@ -150,9 +150,7 @@
 
 std::optional<std::size_t> admission_queue::pick(time_point now) const
 {
-    const bool upstream_full =
-        in_flight() + abandoned_ >= held_requests_per_slot * limit_.slots() && abandoned_ > 0;
-    if (upstream_full || in_flight() >= limit_.value() || queued_.empty() ||
+    if (full_of_abandoned() || in_flight() >= limit_.value() || queued_.empty() ||
         !rate_limit_.allows(now)) {
         return std::nullopt;
     }
--- a/lib/node/executor.cpp
+++ b/lib/node/executor.cpp
@@ -281,7 +281,7 @@
         refuse_queued(reason_code::no_upstream, deferred);
     }
     refuse_unfinishable(now, deferred);
-    queue_->set_abandoned(abandoned_.count(now));
+    update_abandoned(now);
     while (const auto decision = queue_->next(now)) {
         const auto found = executions_.find(decision->id);
         const auto execution = found->second;
--- a/lib/node/executor_abandoned.cpp
+++ b/lib/node/executor_abandoned.cpp
@@ -4,6 +4,9 @@
 
 #include "chestnutstand/admission/reported_load.h"
 #include "chestnutstand/node/executor.h"
+#include "chestnutstand/support/log.h"
+
+#include <utility>
 
 namespace chestnutstand {
 
@@ -27,6 +30,7 @@
         return;
     }
     if (end.abandoned) {
+        stats_.counter("chestnutstand_abandoned_requests_total").fetch_add(1);
         abandoned_.add(now, usual_time_of(call, now) * slowdown_.factor(now));
     }
     if (end.held) {
@@ -34,4 +38,18 @@
     }
 }
 
+void executor::update_abandoned(time_point now)
+{
+    const std::uint32_t count = abandoned_.count(now);
+    queue_->set_abandoned(count);
+    const bool full = queue_->full_of_abandoned();
+    if (full == std::exchange(full_of_abandoned_, full)) {
+        return;
+    }
+    log_event(
+        full ? log_level::warning : log_level::info,
+        full ? "upstream may be full of abandoned requests" : "upstream gets calls again",
+        {{"abandoned", std::uint64_t{count}}, {"in_flight", std::uint64_t{queue_->in_flight()}}});
+}
+
 } // namespace chestnutstand
