--- a/tests/integration/routed_path_test.cpp
+++ b/tests/integration/routed_path_test.cpp
@@ -89,9 +89,9 @@
         const auto client = raw_socket::connect_to(node.caller_port);
         std::string requests;
         for (int i = 1; i <= 3; ++i) {
-            requests += "GET " + prefix + std::to_string(i) +
-                        " HTTP/1.1\r\nHost: shop.example\r\nChestnut-Request-Id: " + kind +
-                        std::to_string(i) + "\r\n\r\n";
+            requests.append("GET ").append(prefix).append(std::to_string(i));
+            requests.append(" HTTP/1.1\r\nHost: shop.example\r\nChestnut-Request-Id: ");
+            requests.append(kind).append(std::to_string(i)).append("\r\n\r\n");
         }
         client.send(requests);
         const auto received = client.receive_until_text("HTTP/1.1 200", 3);
