--- a/cmake/chestnutstand.cmake
+++ b/cmake/chestnutstand.cmake
@@ -14,14 +14,16 @@
   target_link_libraries(cs_${name} PUBLIC chestnutstand_options ${ARG_DEPENDS})
 endfunction()
 
-# chestnutstand_add_unittest(NAME sources... [DEPENDS targets...])
+# chestnutstand_add_unittest(NAME sources... [DEPENDS targets...] [RUN_SERIAL])
+# RUN_SERIAL: ctest runs no other test beside one of this program.
 function(chestnutstand_add_unittest name)
-  cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
+  cmake_parse_arguments(ARG "RUN_SERIAL" "" "DEPENDS" ${ARGN})
   add_executable(${name} ${ARG_UNPARSED_ARGUMENTS})
   target_link_libraries(${name} PRIVATE chestnutstand_options ${ARG_DEPENDS} GTest::gmock
                                         GTest::gtest_main)
   gtest_discover_tests(${name} DISCOVERY_MODE PRE_TEST
-                       PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261204" TIMEOUT 300)
+                       PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261204" TIMEOUT 300
+                                  RUN_SERIAL ${ARG_RUN_SERIAL})
 endfunction()
 
 # All modules of a node. They are listed because CMake does not link objects of object libraries
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -85,6 +85,7 @@
     if (started) {
         member->caller_port = (*started)["caller_port"].get<std::uint16_t>();
         member->admin_port = (*started)["admin_port"].get<std::uint16_t>();
+        member->node_port = (*started)["node_port"].get<std::uint16_t>();
         member->gossip_port = (*started)["gossip_port"].get<std::uint16_t>();
     }
     if (!service.empty()) {
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -28,6 +28,7 @@
     std::unique_ptr<process> upstream;
     std::uint16_t caller_port = 0;
     std::uint16_t admin_port = 0;
+    std::uint16_t node_port = 0;
     std::uint16_t gossip_port = 0;
     std::uint16_t upstream_port = 0;
 };
