Bound the memory of bodies and share one copy of each

Cause: requests that are being received, bodies on their way and responses that wait for their readers had no common bound, and a node held up to seven copies of a body.

memory_budget counts the bytes of all of them. It ends the connection with the least progress when others need the memory, refuses announced bodies for which there is none, and keeps a reserve for small requests. shared_body holds a body once for all attempts, queues and messages. Messages between nodes with a body of 16 KiB or more carry it behind the Protobuf message, in a form that older nodes read as before. Caller connections are bounded by descriptor_limit.

--- a/include/chestnutstand/node/kernel.h
+++ b/include/chestnutstand/node/kernel.h
@@ -7,6 +7,7 @@
 #include "chestnutstand/support/name_table.h"
 #include "chestnutstand/support/registry.h"
 #include "chestnutstand/transport/http_client.h"
+#include "chestnutstand/transport/memory_budget.h"
 #include "chestnutstand/transport/peer_client.h"
 
 #include <absl/status/status.h>
@@ -112,6 +113,8 @@
     node_ports& ports() { return ports_; }
     metrics& stats() { return metrics_; }
     control_loop& control() { return control_; }
+    /// Memory that this process may use for bodies.
+    const std::shared_ptr<memory_budget>& memory() const { return memory_; }
     http_client& http() { return *http_; }
     peer_client& peers() { return *peers_; }
 
@@ -156,6 +159,7 @@
     time_point drain_cutoff_{};
     node_ports ports_;
     metrics metrics_;
+    std::shared_ptr<memory_budget> memory_;
     std::unique_ptr<http_client> http_;
     std::unique_ptr<peer_client> peers_;
     mutable std::mutex mutex_;
--- a/include/chestnutstand/transport/call.h
+++ b/include/chestnutstand/transport/call.h
@@ -3,6 +3,7 @@
 #include "chestnutstand/support/clock.h"
 #include "chestnutstand/support/reason.h"
 #include "chestnutstand/transport/cancellation.h"
+#include "chestnutstand/transport/shared_body.h"
 
 #include <array>
 #include <cstddef>
@@ -26,7 +27,7 @@
     std::string target;
     /// Without hop-by-hop headers.
     std::vector<http_header> headers;
-    std::string body;
+    shared_body body;
     /// Sends the request on a new connection, as a pooled one may have died unnoticed.
     bool fresh_connection = false;
     /// Name of a header that the response must return with the value of the request; empty for
@@ -38,13 +39,17 @@
     milliseconds response_start_timeout{0};
     /// Limit of the body of the response, in bytes; 0 for none besides that of the client.
     std::size_t max_response_bytes = 0;
+    /// Bytes that are sent before the body, as a part of it; empty in received requests.
+    std::string body_prefix{};
 };
 
 struct http_response {
     int status = 0;
     /// Without hop-by-hop headers.
     std::vector<http_header> headers;
-    std::string body;
+    shared_body body;
+    /// Bytes that are sent before the body, as a part of it; empty in received responses.
+    std::string body_prefix{};
 };
 
 /// SHA-256 digest of a request.
--- a/include/chestnutstand/transport/http_client.h
+++ b/include/chestnutstand/transport/http_client.h
@@ -56,6 +56,8 @@
     std::size_t max_response_bytes = default_response_limit;
     /// Limit of all responses in progress together. Beyond it, the largest one is ended.
     std::size_t max_held_bytes = 32 * default_response_limit;
+    /// Memory of the process that the responses use; null for no further limit.
+    std::shared_ptr<memory_budget> memory{};
 };
 
 /// Client based on libcurl's multi interface, with one thread and pooled connections.
--- a/include/chestnutstand/transport/http_server.h
+++ b/include/chestnutstand/transport/http_server.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "chestnutstand/transport/call.h"
+#include "chestnutstand/transport/memory_budget.h"
 
 #include <absl/status/status.h>
 
@@ -56,6 +57,20 @@
     std::function<http_server_limits()> current_limits;
     /// Builds the response to a request that the server refuses; a plain text response by default.
     std::function<http_response(const request_refusal&)> make_refusal_response;
+    /// Memory for requests that are being received and responses that are being sent; null for no
+    /// limit.
+    std::shared_ptr<memory_budget> memory{};
+    /// Connections beyond this number take the place of others that are idle, or are closed; 0 for
+    /// no limit.
+    std::uint32_t max_connections = 0;
+};
+
+struct http_server_statistics {
+    std::uint32_t open_connections = 0;
+    /// Connections closed to keep their number within the limit.
+    std::uint64_t closed_for_descriptors = 0;
+    /// Connections closed to free memory.
+    std::uint64_t closed_for_memory = 0;
 };
 
 /// HTTP/1.1 server. Requests on one connection are handled one at a time; a malformed request is
@@ -76,6 +91,8 @@
     /// Whether no request is being handled and no response is being written.
     bool idle() const;
 
+    http_server_statistics read() const;
+
     /// Closes the listening socket and all connections. Idempotent.
     void stop();
 
--- a/include/chestnutstand/transport/node_server.h
+++ b/include/chestnutstand/transport/node_server.h
@@ -72,7 +72,8 @@
 
 /// HTTP/1.1 server that exchanges the same Protobuf messages.
 std::unique_ptr<node_endpoint> make_http_node_server(std::string address, std::uint16_t port,
-                                                     node_handler& handler);
+                                                     node_handler& handler,
+                                                     std::shared_ptr<memory_budget> memory = {});
 
 /// Client for nodes that serve HTTP/1.1. Does not own the HTTP client, which must outlive it.
 std::unique_ptr<peer_client> make_http_peer_client(http_client& client);
--- a/lib/node/admin_api.cpp
+++ b/lib/node/admin_api.cpp
@@ -302,6 +302,19 @@
         node_.stats().counter("chestnutstand_member_sync_bytes_received_total") =
             traffic.sync_bytes_received;
     }
+    const auto memory = node_.memory()->read();
+    node_.stats().counter("chestnutstand_body_memory_bytes") = memory.held_bytes;
+    node_.stats().counter("chestnutstand_body_memory_limit_bytes") = memory.max_bytes;
+    node_.stats().counter("chestnutstand_body_memory_refusals_total") = memory.refusals;
+    node_.stats().counter("chestnutstand_body_memory_ended_total") = memory.holders_ended;
+    if (const auto* callers = node_.find<http_server>()) {
+        const auto connections = callers->read();
+        node_.stats().counter("chestnutstand_caller_connections") = connections.open_connections;
+        node_.stats().counter("chestnutstand_caller_connections_closed_total") =
+            connections.closed_for_descriptors;
+        node_.stats().counter("chestnutstand_caller_connections_ended_total") =
+            connections.closed_for_memory;
+    }
     response.send({200, {{"Content-Type", "text/plain; version=0.0.4"}}, node_.stats().render()});
 }
 
--- a/lib/node/components/ingress_component.cpp
+++ b/lib/node/components/ingress_component.cpp
@@ -11,6 +11,25 @@
 /// Allows for a body of the maximum size over a slow link.
 constexpr milliseconds body_timeout{30'000};
 
+/// Share of the descriptors for callers. The others are for files, other nodes, the store, the
+/// upstream and operators.
+constexpr double caller_share = 0.6;
+/// Descriptors that a platform counts besides those of connections.
+constexpr std::uint32_t descriptors_for_files = 100;
+constexpr std::uint32_t min_caller_connections = 16;
+
+/// Bound of the caller connections; 0 for none if the platform states no limit.
+std::uint32_t max_caller_connections(std::uint32_t descriptor_limit)
+{
+    if (descriptor_limit == 0) {
+        return 0;
+    }
+    const std::uint32_t left =
+        descriptor_limit > descriptors_for_files ? descriptor_limit - descriptors_for_files : 0;
+    return std::max(min_caller_connections,
+                    static_cast<std::uint32_t>(caller_share * static_cast<double>(left)));
+}
+
 /// Runs the HTTP server for callers and passes their requests to the ingress.
 class ingress_component final : public component {
 public:
@@ -34,6 +53,8 @@
         options.address = address.address;
         options.port = address.port;
         options.threads = config.http_threads;
+        options.memory = node.memory();
+        options.max_connections = max_caller_connections(config.descriptor_limit);
         options.current_limits = [&node] { return limits_of(node); };
         options.make_refusal_response = [this](const request_refusal& error) {
             return ingress_->refuse_unreadable(error);
@@ -46,6 +67,7 @@
         absl::Status status = server_->start();
         if (status.ok()) {
             node.ports().caller = server_->port();
+            node.provide(*server_);
         }
         return status;
     }
--- a/lib/node/components/node_endpoint_component.cpp
+++ b/lib/node/components/node_endpoint_component.cpp
@@ -83,9 +83,10 @@
     {
         handler_ = std::make_unique<local_node_handler>(node);
         const settings& config = node.config();
-        server_ = config.carrier == node_carrier::http
-                      ? make_http_node_server(config.address, config.node_port, *handler_)
-                      : std::make_unique<node_server>(config.address, config.node_port, *handler_);
+        server_ =
+            config.carrier == node_carrier::http
+                ? make_http_node_server(config.address, config.node_port, *handler_, node.memory())
+                : std::make_unique<node_server>(config.address, config.node_port, *handler_);
         absl::Status status = server_->start();
         if (status.ok()) {
             node.ports().node = server_->port();
--- a/lib/node/kernel.cpp
+++ b/lib/node/kernel.cpp
@@ -16,14 +16,8 @@
 /// within a region; at most the share of the drain limit.
 constexpr milliseconds reply_window{150};
 constexpr double max_reply_window_share = 0.05;
-/// Both nodes on the path of a response hold all of it in memory.
+/// Largest response of one call.
 constexpr std::size_t max_response_bytes = std::size_t{64} << 20U;
-/// Limit of the responses that a node without a memory limit receives at the same time.
-constexpr std::size_t max_held_response_bytes = std::size_t{256} << 20U;
-/// Share of the memory limit for the responses that are being received. A complete one is copied
-/// into up to three messages on its way to the caller, and half of the memory is for all else.
-constexpr double held_share_of_memory = 0.125;
-constexpr double bytes_per_mib = 1'048'576.0;
 
 std::uint64_t random_instance()
 {
@@ -34,14 +28,10 @@
     return instance == 0 ? 1 : instance;
 }
 
-http_client_limits response_limits(const settings& config)
+http_client_limits response_limits(const std::shared_ptr<memory_budget>& memory)
 {
-    if (config.memory_limit_mb <= 0.0) {
-        return {max_response_bytes, max_held_response_bytes};
-    }
-    const auto held =
-        static_cast<std::size_t>(config.memory_limit_mb * bytes_per_mib * held_share_of_memory);
-    return {std::min(max_response_bytes, held), held};
+    const std::size_t largest = memory->largest_body();
+    return {std::min(max_response_bytes, largest), largest, memory};
 }
 
 void sleep_for(milliseconds time)
@@ -59,11 +49,11 @@
 
 kernel::kernel(settings initial_settings)
     : settings_{std::move(initial_settings)}, instance_{random_instance()},
-      http_{make_http_client(response_limits(settings_))}, peers_{
-                                                               settings_.carrier ==
-                                                                       node_carrier::http
-                                                                   ? make_http_peer_client(*http_)
-                                                                   : make_grpc_peer_client()}
+      memory_{std::make_shared<memory_budget>(memory_budget_limits_for(settings_.memory_limit_mb))},
+      http_{make_http_client(response_limits(memory_))}, peers_{settings_.carrier ==
+                                                                        node_carrier::http
+                                                                    ? make_http_peer_client(*http_)
+                                                                    : make_grpc_peer_client()}
 {
 }
 
--- a/lib/transport/chunked_body.cpp
+++ b/lib/transport/chunked_body.cpp
@@ -1,5 +1,7 @@
 #include "chunked_body.h"
 
+#include "large_buffer.h"
+
 #include <algorithm>
 #include <charconv>
 #include <string_view>
@@ -22,7 +24,7 @@
     while (progress == chunk_progress::incomplete && consumed < buffer.size()) {
         if (state_ == state::data) {
             const std::size_t count = std::min(chunk_bytes_left_, buffer.size() - consumed);
-            bytes_.append(buffer, consumed, count);
+            append_large(bytes_, std::string_view{buffer}.substr(consumed, count), max_bytes_);
             consumed += count;
             chunk_bytes_left_ -= count;
             state_ = chunk_bytes_left_ == 0 ? state::data_end : state::data;
--- a/lib/transport/curl_client.cpp
+++ b/lib/transport/curl_client.cpp
@@ -40,6 +40,8 @@
     response_budget* budget = nullptr;
     curl_slist* headers = nullptr;
     bool request_sent = false;
+    /// Bytes of the prefix and the body that libcurl has taken.
+    std::size_t uploaded = 0;
     /// The connection chosen for the request was closed by the server, or has bytes to read that
     /// belong to no request. Nothing was sent on it.
     bool connection_unusable = false;
@@ -63,6 +65,20 @@
                                find_header(exchange.request.headers, name);
 }
 
+/// Passes the prefix and the body to libcurl without a common buffer for both.
+std::size_t on_upload(char* buffer, std::size_t size, std::size_t count, void* user)
+{
+    auto& exchange = *static_cast<transfer*>(user);
+    const std::string_view prefix = exchange.request.body_prefix;
+    const std::string_view next =
+        exchange.uploaded < prefix.size()
+            ? prefix.substr(exchange.uploaded)
+            : exchange.request.body.view().substr(exchange.uploaded - prefix.size());
+    const std::size_t taken = next.copy(buffer, size * count);
+    exchange.uploaded += taken;
+    return taken;
+}
+
 std::size_t on_header(char* data, std::size_t size, std::size_t count, void* user)
 {
     auto& exchange = *static_cast<transfer*>(user);
@@ -164,7 +180,7 @@
 public:
     explicit curl_client(http_client_limits limits)
         : max_response_bytes_{limits.max_response_bytes}, multi_{curl_multi_init()},
-          budget_{limits.max_held_bytes}
+          budget_{limits.max_held_bytes, std::move(limits.memory)}
     {
         curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, max_pooled_connections);
         thread_ = std::thread{[this] { run(); }};
@@ -291,9 +307,17 @@
         curl_easy_setopt(handle, CURLOPT_NOBODY, 1L);
     }
     else if (exchange.request.method != "GET" || !exchange.request.body.empty()) {
+        const http_request& sent = exchange.request;
         curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE,
-                         static_cast<curl_off_t>(exchange.request.body.size()));
-        curl_easy_setopt(handle, CURLOPT_POSTFIELDS, exchange.request.body.data());
+                         static_cast<curl_off_t>(sent.body_prefix.size() + sent.body.size()));
+        if (sent.body_prefix.empty()) {
+            curl_easy_setopt(handle, CURLOPT_POSTFIELDS, sent.body.data());
+        }
+        else {
+            curl_easy_setopt(handle, CURLOPT_POST, 1L);
+            curl_easy_setopt(handle, CURLOPT_READFUNCTION, on_upload);
+            curl_easy_setopt(handle, CURLOPT_READDATA, &exchange);
+        }
     }
     curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, exchange.request.method.c_str());
     // An empty value suppresses a header that libcurl would add by itself.
@@ -425,6 +449,7 @@
         return false;
     }
     exchange.connection_unusable = false;
+    exchange.uploaded = 0;
     curl_multi_remove_handle(multi_, exchange.handle);
     curl_easy_setopt(exchange.handle, CURLOPT_FRESH_CONNECT, 1L);
     curl_easy_setopt(exchange.handle, CURLOPT_TIMEOUT_MS, std::lround(left.count()));
@@ -484,9 +509,13 @@
     // Removing a handle during a transfer closes its connection, so that a late response cannot be
     // attributed to another request.
     curl_multi_remove_handle(multi_, ended->handle);
-    budget_.remove(*ended->reader);
+    memory_lease memory = budget_.take(*ended->reader);
     release_handle(std::exchange(ended->handle, nullptr));
-    ended->done({error, std::move(ended->reader->response()), ms_clock::now() - ended->started});
+    http_response response = std::move(ended->reader->response());
+    response.body = shared_body{response.body.take(), std::move(memory)};
+    // The callback may keep the result for long, and a request is not needed any more.
+    ended->request.body = {};
+    ended->done({error, std::move(response), ms_clock::now() - ended->started});
 }
 
 void curl_client::cancel_all()
@@ -504,7 +533,7 @@
     if (initialized != CURLE_OK) {
         std::abort();
     }
-    return std::make_unique<curl_client>(limits);
+    return std::make_unique<curl_client>(std::move(limits));
 }
 
 } // namespace chestnutstand
--- a/lib/transport/http_connection.cpp
+++ b/lib/transport/http_connection.cpp
@@ -15,6 +15,8 @@
 
 constexpr int status_no_content = 204;
 constexpr int status_not_modified = 304;
+/// Smaller bodies are copied, which costs less than a further write.
+constexpr std::size_t min_shared_bytes = std::size_t{16} << 10U;
 
 } // namespace
 
@@ -48,6 +50,23 @@
     return taken;
 }
 
+void response_queue::request_end(std::size_t connection)
+{
+    {
+        const std::lock_guard lock{mutex_};
+        ended_.push_back(connection);
+    }
+    wake();
+}
+
+std::vector<std::size_t> response_queue::take_ended()
+{
+    std::vector<std::size_t> taken;
+    const std::lock_guard lock{mutex_};
+    taken.swap(ended_);
+    return taken;
+}
+
 void response_queue::request_stop()
 {
     stopping_ = true;
@@ -66,7 +85,7 @@
     return connection && header_name_equal(*connection, "close");
 }
 
-std::string serialize(const http_response& response, bool head_only, bool close)
+serialized_response serialize(http_response response, bool head_only, bool close)
 {
     std::string out = absl::StrCat(
         "HTTP/1.1 ", response.status, " ",
@@ -87,13 +106,18 @@
     const bool bodyless =
         response.status == status_no_content || response.status == status_not_modified;
     if (!bodyless && !has_length) {
-        absl::StrAppend(&out, "Content-Length: ", response.body.size(), "\r\n");
+        absl::StrAppend(
+            &out, "Content-Length: ", response.body_prefix.size() + response.body.size(), "\r\n");
     }
     out += "\r\n";
     if (!head_only && !bodyless) {
-        out += response.body;
+        out += response.body_prefix;
+        if (response.body.size() >= min_shared_bytes) {
+            return {std::move(out), std::move(response.body)};
+        }
+        out += response.body.view();
     }
-    return out;
+    return {std::move(out)};
 }
 
 } // namespace chestnutstand
--- a/lib/transport/http_connection.h
+++ b/lib/transport/http_connection.h
@@ -36,6 +36,10 @@
     void request_stop();
     bool stop_requested() const { return stopping_; }
 
+    /// Makes the owning thread end a connection to free its memory.
+    void request_end(std::size_t connection);
+    std::vector<std::size_t> take_ended();
+
     /// eventfd that is readable when responses are queued or a stop was requested.
     int descriptor() const { return event_fd_; }
 
@@ -46,6 +50,7 @@
     std::atomic<bool> stopping_ = false;
     std::mutex mutex_;
     std::vector<entry> entries_;
+    std::vector<std::size_t> ended_;
 };
 
 /// Accepts the response to one request, for any thread.
@@ -81,8 +86,14 @@
     std::shared_ptr<cancellation> disconnected_ = std::make_shared<cancellation>();
 };
 
+/// Serialized response. A large body is not copied and follows the text.
+struct serialized_response {
+    std::string text;
+    shared_body body{};
+};
+
 /// Serializes a response. Always states the body length, except for a status without a body.
-std::string serialize(const http_response& response, bool head_only, bool close);
+serialized_response serialize(http_response response, bool head_only, bool close);
 
 /// Whether the response has Connection: close.
 bool has_connection_close(const http_response& response);
--- a/lib/transport/http_node_server.cpp
+++ b/lib/transport/http_node_server.cpp
@@ -1,6 +1,8 @@
+#include "chestnutstand/transport/headers.h"
 #include "chestnutstand/transport/http_server.h"
 #include "chestnutstand/transport/node_server.h"
 
+#include "body_message.h"
 #include "node_call_paths.h"
 #include "wire_convert.h"
 
@@ -42,12 +44,22 @@
 
 call_done make_call_reply_callback(const responder_ptr& response)
 {
-    return [response](const call_result& result) { reply_with(*response, to_wire(result)); };
+    return [response](const call_result& result) {
+        http_response reply{status_ok, {}, {}};
+        set_content(reply, head_to_wire(result), response_body,
+                    result.outcome == call_outcome::completed ? result.response.body
+                                                              : shared_body{});
+        response->send(std::move(reply));
+    };
 }
 
-service_call read_call(const wire::Call& from, const responder_ptr& response)
+/// The body is empty if it is a part of the message.
+service_call read_call(const wire::Call& from, shared_body body, const responder_ptr& response)
 {
     service_call call = from_wire(from);
+    if (!body.empty()) {
+        call.request.body = std::move(body);
+    }
     call.cancel = response->disconnected();
     return call;
 }
@@ -57,13 +69,13 @@
 public:
     explicit node_request_router(node_handler& handler) : handler_{handler} {}
 
-    void handle(const http_request& request, const responder_ptr& response)
+    void handle(http_request request, const responder_ptr& response)
     {
         if (request.target == node_path::execute) {
-            execute(request, response);
+            execute(std::move(request), response);
         }
         else if (request.target == node_path::forward) {
-            forward(request, response);
+            forward(std::move(request), response);
         }
         else if (request.target == node_path::settle) {
             settle(request, response);
@@ -95,20 +107,33 @@
         return false;
     }
 
-    void execute(const http_request& request, const responder_ptr& response)
+    /// Like parse_body(), for a message that the body of a call may follow.
+    template <typename Message>
+    static bool parse_call(http_request& request, const responder_ptr& response, Message& message)
+    {
+        if (parse_content(request.body, message, call_body)) {
+            return true;
+        }
+        response->send({status_bad_request, {}, "the message is not readable"});
+        return false;
+    }
+
+    void execute(http_request request, const responder_ptr& response)
     {
         wire::ExecuteRequest message;
-        if (parse_body(request, response, message)) {
-            handler_.execute(message.target_instance(), read_call(message.call(), response),
+        if (parse_call(request, response, message)) {
+            handler_.execute(message.target_instance(),
+                             read_call(message.call(), std::move(request.body), response),
                              make_call_reply_callback(response));
         }
     }
 
-    void forward(const http_request& request, const responder_ptr& response)
+    void forward(http_request request, const responder_ptr& response)
     {
         wire::ForwardRequest message;
-        if (parse_body(request, response, message)) {
-            handler_.forward(message.target_instance(), read_call(message.call(), response),
+        if (parse_call(request, response, message)) {
+            handler_.forward(message.target_instance(),
+                             read_call(message.call(), std::move(request.body), response),
                              message.query_only(), make_call_reply_callback(response));
         }
     }
@@ -145,12 +170,12 @@
 
 class http_node_server final : public node_endpoint {
 public:
-    http_node_server(std::string address, std::uint16_t port, node_handler& handler)
-        : router_{handler}, server_{
-                                options(std::move(address), port),
-                                [this](const http_request& request, const responder_ptr& response) {
-                                    router_.handle(request, response);
-                                }}
+    http_node_server(std::string address, std::uint16_t port, node_handler& handler,
+                     std::shared_ptr<memory_budget> memory)
+        : router_{handler}, server_{options(std::move(address), port, std::move(memory)),
+                                    [this](http_request request, const responder_ptr& response) {
+                                        router_.handle(std::move(request), response);
+                                    }}
     {
     }
 
@@ -160,13 +185,24 @@
     void stop(milliseconds /*timeout*/) override { server_.stop(); }
 
 private:
-    static http_server_options options(std::string address, std::uint16_t port)
+    /// The reason tells the sender that the call has not run.
+    static http_response make_refusal(const request_refusal& refused)
+    {
+        return {refused.status,
+                {{std::string{header::reason}, std::string{to_string(refused.reason)}}},
+                refused.detail};
+    }
+
+    static http_server_options options(std::string address, std::uint16_t port,
+                                       std::shared_ptr<memory_budget> memory)
     {
         http_server_options result;
         result.address = std::move(address);
         result.port = port;
         result.max_body_bytes = max_message_bytes;
         result.idle_timeout = idle_timeout;
+        result.make_refusal_response = make_refusal;
+        result.memory = std::move(memory);
         return result;
     }
 
@@ -177,9 +213,10 @@
 } // namespace
 
 std::unique_ptr<node_endpoint> make_http_node_server(std::string address, std::uint16_t port,
-                                                     node_handler& handler)
+                                                     node_handler& handler,
+                                                     std::shared_ptr<memory_budget> memory)
 {
-    return std::make_unique<http_node_server>(std::move(address), port, handler);
+    return std::make_unique<http_node_server>(std::move(address), port, handler, std::move(memory));
 }
 
 } // namespace chestnutstand
--- a/lib/transport/http_peer_client.cpp
+++ b/lib/transport/http_peer_client.cpp
@@ -1,9 +1,11 @@
 #include "chestnutstand/transport/node_server.h"
 
+#include "body_message.h"
 #include "node_call_paths.h"
 #include "wire_convert.h"
 
 #include "chestnutstand/support/str_cat.h"
+#include "chestnutstand/transport/headers.h"
 #include "chestnutstand/transport/http_client.h"
 
 #include <algorithm>
@@ -37,23 +39,33 @@
         return absl::OkStatus();
     }
     const std::string message = str_cat("the node responded with status ", result.response.status,
-                                        ": ", result.response.body);
+                                        ": ", result.response.body.view());
     return result.response.status == status_unavailable ? absl::UnavailableError(message)
                                                         : absl::UnknownError(message);
 }
 
 /// Maps the end of an exchange to the result of the call. Only a connection that was never
 /// established proves that the node did not receive the call.
-call_result result_of(const http_result& result)
+call_result result_of(http_result result)
 {
     if (result.error == http_error::connect_failed) {
         return not_run(reason_code::peer_unreachable);
     }
+    // A node that refuses a call for its size has not read all of it.
+    if (result.error == http_error::none && result.response.status == status_unavailable &&
+        find_header(result.response.headers, header::reason) ==
+            to_string(reason_code::memory_exhausted)) {
+        return not_run(reason_code::memory_exhausted);
+    }
     wire::ExecuteReply reply;
-    if (!status_of(result).ok() || !reply.ParseFromString(result.response.body)) {
+    if (!status_of(result).ok() || !parse_content(result.response.body, reply, response_body)) {
         return unknown_outcome(reason_code::peer_connection_lost);
     }
-    return from_wire(reply);
+    call_result ended = from_wire(reply);
+    if (!result.response.body.empty()) {
+        ended.response.body = std::move(result.response.body);
+    }
+    return ended;
 }
 
 /// Reports a forward that got no reply as owner_unreachable with an unknown outcome, as an earlier
@@ -73,9 +85,10 @@
     {
         wire::ExecuteRequest request;
         request.set_target_instance(target.instance);
-        *request.mutable_call() = to_wire(call);
-        send_call(target, node_path::execute, request, call,
-                  [done = std::move(done)](const http_result& result) { done(result_of(result)); });
+        *request.mutable_call() = head_to_wire(call);
+        send_call(
+            target, node_path::execute, request, call,
+            [done = std::move(done)](http_result result) { done(result_of(std::move(result))); });
     }
 
     void forward(const node_reference& owner, const service_call& call, bool query_only,
@@ -84,10 +97,10 @@
         wire::ForwardRequest request;
         request.set_target_instance(owner.instance);
         request.set_query_only(query_only);
-        *request.mutable_call() = to_wire(call);
+        *request.mutable_call() = head_to_wire(call);
         send_call(owner, node_path::forward, request, call,
-                  [done = std::move(done)](const http_result& result) {
-                      done(map_to_owner_unreachable(result_of(result)));
+                  [done = std::move(done)](http_result result) {
+                      done(map_to_owner_unreachable(result_of(std::move(result))));
                   });
     }
 
@@ -140,7 +153,8 @@
                    const service_call& call, http_client::http_done&& done)
     {
         const milliseconds left = call.deadline - ms_clock::now() + reply_grace_period;
-        http_request http_message = make_request(path, request);
+        http_request http_message{"POST", path, {}, {}};
+        set_content(http_message, request, call_body, call.request.body);
         http_message.fresh_connection = call.request.fresh_connection;
         const auto id = client_.send(url_of(target), std::move(http_message),
                                      std::max(left, milliseconds{1}), std::move(done));
--- a/lib/transport/pistache_server.cpp
+++ b/lib/transport/pistache_server.cpp
@@ -68,6 +68,12 @@
     return state_->shared->busy_connections == 0;
 }
 
+http_server_statistics http_server::read() const
+{
+    const auto& shared = *state_->shared;
+    return {shared.open_connections, shared.closed_for_descriptors, shared.closed_for_memory};
+}
+
 void http_server::stop()
 {
     if (!state_->listener) {
--- a/lib/transport/request_framer.cpp
+++ b/lib/transport/request_framer.cpp
@@ -1,5 +1,6 @@
 #include "request_framer.h"
 
+#include "large_buffer.h"
 #include "message_grammar.h"
 
 #include "chestnutstand/transport/headers.h"
@@ -21,6 +22,8 @@
 namespace http = Pistache::Http;
 
 constexpr std::string_view line_end = "\r\n";
+/// A larger buffer is given back when it is no longer used.
+constexpr std::size_t min_reserved_bytes = std::size_t{256} << 10U;
 constexpr int status_too_large = 413;
 constexpr int status_expectation_failed = 417;
 constexpr int status_headers_too_large = 431;
@@ -118,6 +121,58 @@
 {
 }
 
+void request_framer::add(std::string_view bytes)
+{
+    bytes.remove_prefix(add_to_body(bytes));
+    append_large(buffer_, bytes, max_header_bytes_ + max_body_bytes_);
+}
+
+/// Input that arrived before its head was parsed is not copied if it is all of one body.
+void request_framer::move_buffer_to_body()
+{
+    if (head_->body.empty() && !buffer_.empty() && buffer_.size() <= head_->body_bytes) {
+        head_->body = std::exchange(buffer_, {});
+        return;
+    }
+    buffer_.erase(0, add_to_body(buffer_));
+    if (buffer_.capacity() > min_reserved_bytes && buffer_.size() < min_reserved_bytes) {
+        buffer_.shrink_to_fit();
+    }
+}
+
+std::size_t request_framer::add_to_body(std::string_view bytes)
+{
+    if (!head_ || head_->chunks) {
+        return 0;
+    }
+    std::string& body = head_->body;
+    const std::size_t count = std::min(bytes.size(), head_->body_bytes - body.size());
+    append_large(body, bytes.substr(0, count), head_->body_bytes);
+    return count;
+}
+
+std::size_t request_framer::held_bytes() const
+{
+    const std::size_t body =
+        head_ ? head_->body.size() + (head_->chunks ? head_->chunks->bytes().size() : 0) : 0;
+    return buffer_.size() + body;
+}
+
+void request_framer::discard()
+{
+    buffer_ = {};
+    scanned_bytes_ = 0;
+    head_.reset();
+}
+
+std::optional<std::size_t> request_framer::consume_announced_length()
+{
+    if (!head_ || head_->chunks || std::exchange(head_->length_consumed, true)) {
+        return std::nullopt;
+    }
+    return head_->body_bytes - head_->body.size();
+}
+
 framing_result request_framer::next()
 {
     if (!head_) {
@@ -128,12 +183,15 @@
     if (head_ && head_->chunks) {
         return next_chunked();
     }
-    if (!head_ || buffer_.size() < head_->body_bytes) {
+    if (!head_) {
+        return std::monostate{};
+    }
+    move_buffer_to_body();
+    if (head_->body.size() < head_->body_bytes) {
         return std::monostate{};
     }
     framed_request complete = std::move(head_->parsed);
-    complete.request.body = buffer_.substr(0, head_->body_bytes);
-    buffer_.erase(0, head_->body_bytes);
+    complete.request.body = std::move(head_->body);
     head_.reset();
     return complete;
 }
--- a/lib/transport/request_framer.h
+++ b/lib/transport/request_framer.h
@@ -30,7 +30,7 @@
     /// Sets the limits for the next request.
     void set_limits(std::size_t max_header_bytes, std::size_t max_body_bytes);
 
-    void add(std::string_view bytes) { buffer_.append(bytes); }
+    void add(std::string_view bytes);
 
     /// Removes the next complete request from the buffer and returns it.
     framing_result next();
@@ -45,17 +45,30 @@
     bool empty() const { return buffer_.empty() && !head_; }
 
     std::size_t buffered() const { return buffer_.size(); }
-    void discard() { buffer_.clear(); }
+    /// Bytes held for the current request and for what follows it.
+    std::size_t held_bytes() const;
+    /// Drops all that has been received.
+    void discard();
+
+    /// What is missing of the announced length of an incomplete body; once per request.
+    std::optional<std::size_t> consume_announced_length();
 
 private:
     struct head {
         framed_request parsed;
         std::size_t body_bytes = 0;
+        /// What has arrived of a body with a length.
+        std::string body;
         /// Set for a body with chunked transfer encoding.
         std::optional<chunked_body> chunks;
         bool expects_continue = false;
+        bool length_consumed = false;
     };
 
+    /// Moves bytes to the body with a length of the current request. Returns their number.
+    std::size_t add_to_body(std::string_view bytes);
+    void move_buffer_to_body();
+
     std::optional<request_refusal> read_head();
     framing_result next_chunked();
     request_refusal body_too_large() const;
--- a/lib/transport/response_reader.cpp
+++ b/lib/transport/response_reader.cpp
@@ -1,5 +1,6 @@
 #include "response_reader.h"
 
+#include "large_buffer.h"
 #include "message_grammar.h"
 
 #include <utility>
@@ -33,6 +34,7 @@
 {
     error_ = error;
     response_ = {};
+    body_ = {};
     field_bytes_ = 0;
     chunks_.reset();
     undecoded_ = {};
@@ -41,7 +43,7 @@
 std::size_t response_reader::held_bytes() const
 {
     const std::size_t chunked = chunks_ ? chunks_->bytes().size() : 0;
-    return field_bytes_ + response_.body.size() + chunked + undecoded_.size();
+    return field_bytes_ + body_.size() + chunked + undecoded_.size();
 }
 
 bool response_reader::add_header_line(std::string_view line)
@@ -141,14 +143,14 @@
     if (chunks_) {
         return decode_chunks(bytes);
     }
-    const std::size_t size = response_.body.size() + bytes.size();
+    const std::size_t size = body_.size() + bytes.size();
     if (size > max_bytes_) {
         return fail(http_error::too_large);
     }
     if (length_ && size > *length_) {
         return fail(http_error::malformed);
     }
-    response_.body.append(bytes);
+    append_large(body_, bytes, length_.value_or(max_bytes_));
     return true;
 }
 
@@ -181,6 +183,7 @@
 
 http_error response_reader::finish()
 {
+    response_.body = std::move(body_);
     if (error_ != http_error::none) {
         return error_;
     }
--- a/lib/transport/response_reader.h
+++ b/lib/transport/response_reader.h
@@ -76,6 +76,8 @@
     /// Set if the body is chunked.
     std::optional<chunked_body> chunks_;
     std::size_t chunked_bytes_ = 0;
+    /// Received body that is not chunked.
+    std::string body_;
     /// Received bytes of the chunked body that are not decoded yet.
     std::string undecoded_;
     bool chunks_complete_ = false;
--- a/lib/transport/server_transport.cpp
+++ b/lib/transport/server_transport.cpp
@@ -84,10 +84,11 @@
         check_deadlines();
     }
     for (auto entries = queue_->take_all(); !entries.empty(); entries = queue_->take_all()) {
-        for (const auto& entry : entries) {
+        for (auto& entry : entries) {
             send_response(entry);
         }
     }
+    end_for_memory();
     close_pending();
     if (queue_->stop_requested()) {
         close_all();
@@ -96,9 +97,14 @@
 
 void server_transport::open(const peer_ptr& peer)
 {
-    const auto added = connections_.try_emplace(peer->getID(), peer, shared_->limits()).first;
+    const std::size_t id = peer->getID();
+    const auto added = connections_
+                           .try_emplace(id, peer, shared_->limits(), shared_->options.memory,
+                                        [queue = queue_, id] { queue->request_end(id); })
+                           .first;
     ++shared_->open_connections;
     arm_timer(*added->second.deadline);
+    limit_connections(id);
 }
 
 void server_transport::disconnect(const peer_ptr& peer)
@@ -129,6 +135,9 @@
         client.limits = shared_->limits();
         client.framer.set_limits(client.limits.max_header_bytes, client.limits.max_body_bytes);
     }
+    if (!acquire_input(client, bytes.size())) {
+        return;
+    }
     client.framer.add(bytes);
     if (client.slot &&
         client.framer.buffered() > client.limits.max_header_bytes + client.limits.max_body_bytes) {
@@ -150,6 +159,7 @@
     if (!handle_next_request(client)) {
         wait_for_client(client);
     }
+    client.memory.resize(client.framer.held_bytes(), ms_clock::now());
 }
 
 /// Returns whether a request was passed to the handler or refused.
@@ -166,6 +176,9 @@
     }
     client.deadline.reset();
     client.in_request = false;
+    std::string body = complete->request.body.take();
+    memory_lease memory = client.memory.take(body.size());
+    complete->request.body = shared_body{std::move(body), std::move(memory)};
     client.slot = std::make_shared<response_slot>(
         queue_, client.peer->getID(), complete->request.method == "HEAD", complete->keep_alive);
     update_busy(client);
@@ -175,8 +188,11 @@
 
 void server_transport::wait_for_client(connection& client)
 {
+    if (refuse_announced(client)) {
+        return;
+    }
     if (client.framer.consume_expect_continue()) {
-        write(client, "HTTP/1.1 100 Continue\r\n\r\n");
+        write(client, {"HTTP/1.1 100 Continue\r\n\r\n"});
     }
     const bool in_request = !client.framer.empty();
     if (client.deadline && client.in_request == in_request) {
@@ -191,14 +207,14 @@
 void server_transport::refuse(connection& client, const request_refusal& refusal)
 {
     const auto& make_response = shared_->options.make_refusal_response;
-    const http_response response =
-        make_response ? make_response(refusal) : plain_text_refusal(refusal);
+    http_response response = make_response ? make_response(refusal) : plain_text_refusal(refusal);
     client.closing = true;
     client.framer.discard();
-    write(client, serialize(response, false, true));
+    client.memory.resize(0, ms_clock::now());
+    write(client, serialize(std::move(response), false, true));
 }
 
-void server_transport::send_response(const response_queue::entry& entry)
+void server_transport::send_response(response_queue::entry& entry)
 {
     const auto found = connections_.find(entry.slot->connection());
     if (found == connections_.end() || found->second.slot != entry.slot) {
@@ -207,7 +223,7 @@
     connection& client = found->second;
     client.slot.reset();
     client.closing = !entry.slot->keep_alive() || has_connection_close(entry.response);
-    write(client, serialize(entry.response, entry.slot->head_only(), client.closing));
+    write(client, serialize(std::move(entry.response), entry.slot->head_only(), client.closing));
 }
 
 void server_transport::update_busy(connection& client)
@@ -220,25 +236,27 @@
     shared_->busy_connections += busy ? 1 : -1;
 }
 
-void server_transport::write(connection& client, std::string bytes)
+void server_transport::write(connection& client, serialized_response bytes)
 {
     client.writing = true;
     update_busy(client);
     client.output = std::move(bytes);
     client.sent = 0;
+    client.memory.set_output(client.output.body.size(), ms_clock::now());
     continue_write(client);
 }
 
 void server_transport::continue_write(connection& client)
 {
     const int descriptor = client.peer->fd();
-    while (client.sent < client.output.size()) {
+    for (auto next = next_output(client); !next.empty(); next = next_output(client)) {
         const ssize_t size =
-            ::send(descriptor, client.output.data() + client.sent,
-                   client.output.size() - client.sent, MSG_NOSIGNAL | MSG_DONTWAIT);
+            ::send(descriptor, next.data(), next.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
         if (size >= 0) {
             client.sent += static_cast<std::size_t>(size);
-            client.deadline = ms_clock::now() + client.limits.request_timeout;
+            const time_point now = ms_clock::now();
+            client.memory.note_progress(static_cast<std::size_t>(size), now);
+            client.deadline = now + client.limits.request_timeout;
             continue;
         }
         if (errno == EINTR) {
@@ -292,6 +310,7 @@
 {
     client.writing = false;
     client.output = {};
+    client.memory.set_output(0, ms_clock::now());
     update_busy(client);
     client.broken = client.broken || !complete;
     if (client.broken) {
--- a/lib/transport/server_transport.h
+++ b/lib/transport/server_transport.h
@@ -25,14 +25,16 @@
 
 /// State of one client connection; accessed only by the thread that owns the connection.
 struct connection {
-    connection(peer_ptr client, const http_server_limits& current)
-        : peer{std::move(client)}, limits{current}, framer{current.max_header_bytes,
-                                                           current.max_body_bytes},
-          deadline{ms_clock::now() + current.idle_timeout}
+    connection(peer_ptr client, const http_server_limits& current,
+               std::shared_ptr<memory_budget> budget, std::function<void()> end)
+        : peer{std::move(client)}, memory{std::move(budget), std::move(end)}, limits{current},
+          framer{current.max_header_bytes, current.max_body_bytes}, deadline{ms_clock::now() +
+                                                                             current.idle_timeout}
     {
     }
 
     peer_ptr peer;
+    memory_holder memory;
     /// Limits for the current request, read when it began.
     http_server_limits limits;
     request_framer framer;
@@ -44,7 +46,7 @@
     bool in_request = false;
     /// Whether a response is being written: output from the offset sent on is not sent yet.
     bool writing = false;
-    std::string output;
+    serialized_response output;
     std::size_t sent = 0;
     /// Whether the response that is or was written last ends the connection.
     bool closing = false;
@@ -63,6 +65,8 @@
     std::atomic<std::uint32_t> open_connections = 0;
     /// Connections whose request is being handled or whose response is being written.
     std::atomic<std::uint32_t> busy_connections = 0;
+    std::atomic<std::uint64_t> closed_for_descriptors = 0;
+    std::atomic<std::uint64_t> closed_for_memory = 0;
 
     http_server_limits limits() const
     {
@@ -127,8 +131,10 @@
     void process_input(connection& client);
     bool handle_next_request(connection& client);
     void refuse(connection& client, const request_refusal& refusal);
-    void send_response(const response_queue::entry& entry);
-    void write(connection& client, std::string bytes);
+    void send_response(response_queue::entry& entry);
+    void write(connection& client, serialized_response bytes);
+    /// The next bytes of the output that are in one piece.
+    static std::string_view next_output(const connection& client);
     /// Sends what the connection takes now; the rest follows when it is ready for more.
     void continue_write(connection& client);
     void finish_write(connection& client, bool complete);
@@ -137,6 +143,16 @@
     void wait_for_client(connection& client);
     /// Updates the count of busy connections after a change of the connection's slot or output.
     void update_busy(connection& client);
+    /// Accounts for input before it is stored. Refuses the request and returns false if there is no
+    /// memory for it.
+    bool acquire_input(connection& client, std::size_t bytes);
+    /// Refuses a request whose announced body will not find memory. Returns whether it did.
+    bool refuse_announced(connection& client);
+    /// Ends the connections that the memory budget has selected.
+    void end_for_memory();
+    void refuse_for_memory(connection& client);
+    /// Closes an idle connection, or else the new one, when there are too many.
+    void limit_connections(std::size_t newest);
     void check_deadlines();
     void handle_timeout(connection& client);
     void arm_timer(time_point due);
--- a/lib/transport/wire_convert.cpp
+++ b/lib/transport/wire_convert.cpp
@@ -29,11 +29,10 @@
     return headers;
 }
 
-void response_to_wire(const http_response& from, wire::HttpResponse* to)
+void response_head_to_wire(const http_response& from, wire::HttpResponse* to)
 {
     to->set_status(static_cast<std::uint32_t>(from.status));
     headers_to_wire(from.headers, to->mutable_headers());
-    to->set_body(from.body);
 }
 
 http_response response_from_wire(const wire::HttpResponse& from)
@@ -82,6 +81,13 @@
 } // namespace
 
 wire::Call to_wire(const service_call& call)
+{
+    wire::Call message = head_to_wire(call);
+    message.mutable_request()->set_body(call.request.body.str());
+    return message;
+}
+
+wire::Call head_to_wire(const service_call& call)
 {
     wire::Call message;
     message.set_service(call.service);
@@ -98,7 +104,6 @@
     request->set_method(call.request.method);
     request->set_target(call.request.target);
     headers_to_wire(call.request.headers, request->mutable_headers());
-    request->set_body(call.request.body);
     return message;
 }
 
@@ -159,12 +164,21 @@
 }
 
 wire::ExecuteReply to_wire(const call_result& result)
+{
+    wire::ExecuteReply reply = head_to_wire(result);
+    if (result.outcome == call_outcome::completed) {
+        reply.mutable_response()->set_body(result.response.body.str());
+    }
+    return reply;
+}
+
+wire::ExecuteReply head_to_wire(const call_result& result)
 {
     wire::ExecuteReply reply;
     reply.set_outcome(wire_outcomes.at(static_cast<std::size_t>(result.outcome)));
     reply.set_reason(std::string{to_string(result.reason)});
     if (result.outcome == call_outcome::completed) {
-        response_to_wire(result.response, reply.mutable_response());
+        response_head_to_wire(result.response, reply.mutable_response());
     }
     if (result.load) {
         *reply.mutable_load() = to_wire(*result.load);
@@ -194,7 +208,8 @@
     wire::SettleReply reply;
     reply.set_state(wire_settle_states.at(static_cast<std::size_t>(result.state)));
     if (result.state == settle_state::completed) {
-        response_to_wire(result.response, reply.mutable_response());
+        response_head_to_wire(result.response, reply.mutable_response());
+        reply.mutable_response()->set_body(result.response.body.str());
     }
     reply.set_reason(std::string{to_string(result.reason)});
     if (result.request) {
--- a/lib/transport/wire_convert.h
+++ b/lib/transport/wire_convert.h
@@ -9,12 +9,16 @@
 // Conversions between the messages of node.proto and the C++ types that the rest of the code uses.
 
 wire::Call to_wire(const service_call& call);
+/// The message without the body of the request.
+wire::Call head_to_wire(const service_call& call);
 service_call from_wire(const wire::Call& call);
 
 wire::LoadReport to_wire(const load_report& load);
 load_report from_wire(const wire::LoadReport& load);
 
 wire::ExecuteReply to_wire(const call_result& result);
+/// The message without the body of the response.
+wire::ExecuteReply head_to_wire(const call_result& result);
 call_result from_wire(const wire::ExecuteReply& reply);
 
 wire::SettleReply to_wire(const settle_result& result);
--- a/tools/chestnutstand/admin_client.cpp
+++ b/tools/chestnutstand/admin_client.cpp
@@ -83,7 +83,7 @@
     }
     if (response->status / 100 != 2) {
         return fail(exit_failed, str_cat("the node responded with status ", response->status, ": ",
-                                         response->body));
+                                         response->body.view()));
     }
     std::cout << response->body;
     return exit_success;
--- a/tools/chestnutstand/config.cpp
+++ b/tools/chestnutstand/config.cpp
@@ -153,7 +153,7 @@
     }
     const json verdict = json::parse(response->body, nullptr, false);
     if (!verdict.is_object() || !verdict.contains("accepted")) {
-        const auto error = verdict.is_object() ? verdict.value("error", "") : response->body;
+        const auto error = verdict.is_object() ? verdict.value("error", "") : response->body.str();
         return fail(exit_failed, str_cat("no verdict on the change: ", error, retry_hint));
     }
     if (!verdict.value("accepted", false)) {
--- a/tools/chestnutstand/node.cpp
+++ b/tools/chestnutstand/node.cpp
@@ -13,6 +13,7 @@
 #include <cstdlib>
 #include <ctime>
 #include <iterator>
+#include <malloc.h>
 #include <string>
 #include <vector>
 
@@ -21,6 +22,9 @@
 
 /// Interval of checks for a change of the settings file that no signal announced.
 constexpr timespec settings_check_interval{2, 0};
+constexpr int returned_block_bytes = 131'072;
+/// Each arena keeps what its threads have freed.
+constexpr int max_arenas = 2;
 
 /// Changed keys that take effect only after a restart.
 std::vector<std::string> restart_only_keys(const settings_watch::change& change)
@@ -76,10 +80,21 @@
     } while (true);
 }
 
+/// Makes the allocator return the memory of a large body at once. By default it raises the size
+/// from which it does so with each large block, and keeps smaller blocks for each of its arenas.
+void bound_allocator(const settings& node_settings)
+{
+    if (node_settings.memory_limit_mb > 0.0) {
+        mallopt(M_MMAP_THRESHOLD, returned_block_bytes);
+        mallopt(M_ARENA_MAX, max_arenas);
+    }
+}
+
 int run_node(settings node_settings, settings_watch file)
 {
     const sigset_t signals = block_stop_signals();
     init_logging(node_settings.lowest_log_level);
+    bound_allocator(node_settings);
     // Never destroyed: the process ends right after the stop, and callers whose connections the
     // kernel has not closed yet would wait for the end of its threads.
     auto& node = *new kernel{std::move(node_settings)};
--- a/unittests/keys/attempt_ledger_test.cpp
+++ b/unittests/keys/attempt_ledger_test.cpp
@@ -109,7 +109,7 @@
 TEST_F(attempt_ledger_test, keeps_a_bounded_number_of_response_bytes)
 {
     call_result large = completed();
-    large.response.body.assign(std::size_t{1} << 20U, 'x');
+    large.response.body = std::string(std::size_t{1} << 20U, 'x');
     for (int i = 0; i < 10; ++i) {
         const std::string attempt_id = std::to_string(i);
         ledger_.admit(attempt_id, now_);
--- a/unittests/keys/key_simulation.cpp
+++ b/unittests/keys/key_simulation.cpp
@@ -296,7 +296,7 @@
     call.idempotency_key = key;
     call.request = {"POST", "/", {}, "payload " + std::to_string(key_index)};
     if (!query && chance(12)) {
-        call.request.body += " altered";
+        call.request.body = call.request.body.str() + " altered";
     }
     auto new_invocation = std::make_shared<invocation>();
     new_invocation->ingress = ingress;
