--- a/lib/transport/server_transport.cpp
+++ b/lib/transport/server_transport.cpp
@@ -88,6 +88,7 @@
             send_response(std::move(entry));
         }
     }
+    end_for_memory();
     close_pending();
     if (queue_->stop_requested()) {
         close_all();
@@ -96,11 +97,15 @@
 
 void server_transport::open(const peer_ptr& peer)
 {
+    const std::size_t id = peer->getID();
     const auto added =
-        connections_.try_emplace(peer->getID(), peer, shared_->limits(), shared_->options.pipeline)
+        connections_
+            .try_emplace(id, peer, shared_->limits(), shared_->options.pipeline,
+                         shared_->options.memory, [queue = queue_, id] { queue->request_end(id); })
             .first;
     ++shared_->open_connections;
     arm_timer(*added->second.deadline);
+    limit_connections(id);
 }
 
 void server_transport::disconnect(const peer_ptr& peer)
@@ -132,6 +137,9 @@
         client.limits = shared_->limits();
         client.framer.set_limits(client.limits.max_header_bytes, client.limits.max_body_bytes);
     }
+    if (!acquire_input(client, bytes.size())) {
+        return;
+    }
     client.framer.add(bytes);
     process_input(client);
     if (!client.pipeline.empty() &&
@@ -150,6 +158,8 @@
     if (!client.writing && !client.closing && !client.broken && client.pipeline.empty()) {
         wait_for_client(client);
     }
+    const std::size_t waiting = client.next ? client.next->request.body.size() : 0;
+    client.memory.resize(client.framer.held_bytes() + waiting, ms_clock::now());
 }
 
 bool server_transport::handle_next_request(connection& client)
@@ -177,6 +187,9 @@
         client.deadline.reset();
     }
     client.in_request = false;
+    std::string body = request.request.body.take();
+    memory_lease memory = client.memory.take(body.size());
+    request.request.body = shared_body{std::move(body), std::move(memory)};
     const auto slot = std::make_shared<response_slot>(queue_, client.peer->getID());
     slot->set_ticket(
         client.pipeline.begin({size_of(request.request), request.request.method == "HEAD",
@@ -204,8 +217,11 @@
 
 void server_transport::wait_for_client(connection& client)
 {
+    if (refuse_announced(client)) {
+        return;
+    }
     if (client.framer.consume_expect_continue()) {
-        write(client, "HTTP/1.1 100 Continue\r\n\r\n");
+        write(client, {"HTTP/1.1 100 Continue\r\n\r\n"});
     }
     const bool in_request = !client.framer.empty();
     if (client.deadline && client.in_request == in_request) {
@@ -220,10 +236,10 @@
 void server_transport::refuse(connection& client, const request_refusal& refusal)
 {
     const auto& make_response = shared_->options.make_refusal_response;
-    const http_response response =
-        make_response ? make_response(refusal) : plain_text_refusal(refusal);
-    client.pipeline.refuse(response);
+    http_response response = make_response ? make_response(refusal) : plain_text_refusal(refusal);
+    client.pipeline.refuse(std::move(response));
     stop_accepting(client);
+    client.memory.resize(0, ms_clock::now());
     write_next_response(client);
 }
 
@@ -250,7 +266,7 @@
     }
     if (auto ready = client.pipeline.take_ready()) {
         client.closing = ready->closes;
-        write(client, serialize(ready->response, ready->head_only, ready->closes));
+        write(client, serialize(std::move(ready->response), ready->head_only, ready->closes));
     }
     else if (client.pipeline.empty() && !client.pipeline.accepting()) {
         // The last response was already being written when the server decided to accept no more.
@@ -276,25 +292,27 @@
     shared_->busy_connections += busy ? 1 : -1;
 }
 
-void server_transport::write(connection& client, std::string bytes)
+void server_transport::write(connection& client, serialized_response bytes)
 {
     client.writing = true;
     update_busy(client);
     client.output = std::move(bytes);
     client.sent = 0;
+    client.memory.set_output(client.output.body.size(), ms_clock::now());
     continue_write(client);
 }
 
 void server_transport::continue_write(connection& client)
 {
     const int descriptor = client.peer->fd();
-    while (client.sent < client.output.size()) {
+    for (auto next = next_output(client); !next.empty(); next = next_output(client)) {
         const ssize_t size =
-            ::send(descriptor, client.output.data() + client.sent,
-                   client.output.size() - client.sent, MSG_NOSIGNAL | MSG_DONTWAIT);
+            ::send(descriptor, next.data(), next.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
         if (size >= 0) {
             client.sent += static_cast<std::size_t>(size);
-            client.deadline = ms_clock::now() + client.limits.request_timeout;
+            const time_point now = ms_clock::now();
+            client.memory.note_progress(static_cast<std::size_t>(size), now);
+            client.deadline = now + client.limits.request_timeout;
             continue;
         }
         if (errno == EINTR) {
@@ -349,6 +367,8 @@
     client.writing = false;
     client.output = {};
     client.pipeline.written();
+    client.memory.set_output(0, ms_clock::now());
+    update_busy(client);
     client.broken = client.broken || !complete;
     if (client.broken) {
         pending_close_.push_back(client.peer->getID());
