--- a/unittests/tenancy/tenant_rotation_test.cpp
+++ b/unittests/tenancy/tenant_rotation_test.cpp
@@ -18,7 +18,7 @@
 /// Serves the tenant whose turn it is.
 std::string serve_next(tenant_rotation& rotation, milliseconds work)
 {
-    const std::string tenant{rotation.next()};
+    std::string tenant{rotation.next()};
     rotation.serve(tenant, work);
     return tenant;
 }
