Test the order of many pipelined requests in pieces

Requests arrive in small pieces and are answered in random order. The tests of pipelining no longer depend on short timeouts, except for the one of the idle timeout.

--- a/unittests/transport/pipelining_test.cpp
+++ b/unittests/transport/pipelining_test.cpp
@@ -4,12 +4,17 @@
 
 #include <gtest/gtest.h>
 
-#include <algorithm>
+#include <atomic>
+#include <cstddef>
+#include <iterator>
 #include <map>
 #include <memory>
 #include <mutex>
+#include <random>
 #include <string>
+#include <string_view>
 #include <thread>
+#include <vector>
 
 namespace chestnutstand {
 namespace {
@@ -24,14 +29,15 @@
 /// Server whose requests to /may-overtake/ may overtake; the test sends the responses.
 class pipelining_test : public ::testing::Test {
 protected:
-    void SetUp() override
+    void SetUp() override { start(100); }
+
+    void start(std::size_t max_body_bytes, milliseconds idle_timeout = milliseconds{10'000})
     {
         http_server_options options;
-        options.max_body_bytes = 100;
+        options.max_body_bytes = max_body_bytes;
         options.max_header_bytes = 1'000;
         options.pipeline.max_requests = 3;
-        options.request_timeout = milliseconds{200};
-        options.idle_timeout = milliseconds{200};
+        options.idle_timeout = idle_timeout;
         options.may_overtake = [](const http_request& request) {
             return request.target.rfind("/may-overtake/", 0) == 0;
         };
@@ -200,10 +206,11 @@
 // Guards against a timeout that closes a connection while requests on it are in progress.
 TEST_F(pipelining_test, connection_with_requests_in_progress_is_not_idle)
 {
+    start(100, milliseconds{500});
     const auto client = raw_socket::connect_to(server_->port());
     client.send(get("/may-overtake/1") + get("/may-overtake/2") + "GET /may-over");
     handled("/may-overtake/2");
-    std::this_thread::sleep_for(milliseconds{500});
+    std::this_thread::sleep_for(milliseconds{1'000});
     answer("/may-overtake/2");
     answer("/may-overtake/1");
     EXPECT_NE(client.receive_until_text("</may-overtake/2>").find("</may-overtake/2>"),
@@ -226,5 +233,56 @@
     EXPECT_TRUE(server_->idle());
 }
 
+// Guards against a response that is lost, repeated or swapped, or a server that stands still, when
+// requests arrive in pieces and are answered in any order.
+TEST_F(pipelining_test, keeps_the_order_of_many_requests)
+{
+    constexpr int request_count = 300;
+    constexpr std::size_t piece = 37;
+    // The server closes a connection with more bytes read ahead than one request may have.
+    start(std::size_t{1} << 20U);
+    std::string expected;
+    std::atomic<bool> received_all = false;
+    std::thread answering{[&] {
+        std::mt19937 random{11};
+        while (!received_all) {
+            std::unique_lock lock{mutex_};
+            if (held_.empty()) {
+                lock.unlock();
+                std::this_thread::yield();
+                continue;
+            }
+            const auto chosen = std::next(held_.begin(), random() % held_.size());
+            const auto [target, response] = *chosen;
+            held_.erase(chosen);
+            lock.unlock();
+            response->send({200, {}, "<" + target + ">"});
+        }
+    }};
+    const auto client = raw_socket::connect_to(server_->port());
+    std::string bytes;
+    for (int i = 0; i < request_count; ++i) {
+        const std::string target = (i % 5 == 0 ? "/once/" : "/may-overtake/") + std::to_string(i);
+        bytes += get(target);
+        expected.append("<").append(target).append(">");
+    }
+    std::thread sending{[&] {
+        for (std::size_t at = 0; at < bytes.size(); at += piece) {
+            client.send(std::string_view{bytes}.substr(at, piece));
+            std::this_thread::yield();
+        }
+    }};
+    const auto received = client.receive_until_text("/" + std::to_string(request_count - 1) + ">");
+    received_all = true;
+    sending.join();
+    answering.join();
+    std::string bodies;
+    for (auto at = received.find('<'); at != std::string::npos; at = received.find('<', at + 1)) {
+        bodies += received.substr(at, received.find('>', at) + 1 - at);
+    }
+    EXPECT_EQ(bodies, expected);
+    EXPECT_TRUE(becomes_idle());
+}
+
 } // namespace
 } // namespace chestnutstand
