--- a/unittests/transport/pipelining_test.cpp
+++ b/unittests/transport/pipelining_test.cpp
@@ -252,7 +252,8 @@
                 std::this_thread::yield();
                 continue;
             }
-            const auto chosen = std::next(held_.begin(), random() % held_.size());
+            const auto chosen =
+                std::next(held_.begin(), static_cast<std::ptrdiff_t>(random() % held_.size()));
             const auto [target, response] = *chosen;
             held_.erase(chosen);
             lock.unlock();
