--- a/include/chestnutstand/transport/node_server.h
+++ b/include/chestnutstand/transport/node_server.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace chestnutstand {
@@ -33,7 +34,7 @@
     virtual void sync_members(std::vector<std::string> members, peer_client::members_done done) = 0;
     virtual void acquire_quota(const quota_request& /*request*/, peer_client::quota_done done)
     {
-        done(absl::UnimplementedError("this node grants no quotas"));
+        std::move(done)(absl::UnimplementedError("this node grants no quotas"));
     }
 };
 
--- a/include/chestnutstand/transport/peer_client.h
+++ b/include/chestnutstand/transport/peer_client.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace chestnutstand {
@@ -126,7 +127,7 @@
     virtual void acquire_quota(const node_reference& /*target*/, const quota_request& /*request*/,
                                milliseconds /*timeout*/, quota_done done)
     {
-        done(absl::UnimplementedError("this client requests no quotas"));
+        std::move(done)(absl::UnimplementedError("this client requests no quotas"));
     }
 };
 
