--- a/include/chestnutstand/transport/node_server.h
+++ b/include/chestnutstand/transport/node_server.h
@@ -34,7 +34,8 @@
     virtual void sync_members(std::vector<std::string> members, peer_client::members_done done) = 0;
     virtual void acquire_quota(const quota_request& /*request*/, peer_client::quota_done done)
     {
-        std::move(done)(absl::UnimplementedError("this node grants no quotas"));
+        const auto reply = std::move(done);
+        reply(absl::UnimplementedError("this node grants no quotas"));
     }
 };
 
--- a/include/chestnutstand/transport/peer_client.h
+++ b/include/chestnutstand/transport/peer_client.h
@@ -127,7 +127,8 @@
     virtual void acquire_quota(const node_reference& /*target*/, const quota_request& /*request*/,
                                milliseconds /*timeout*/, quota_done done)
     {
-        std::move(done)(absl::UnimplementedError("this client requests no quotas"));
+        const auto reply = std::move(done);
+        reply(absl::UnimplementedError("this client requests no quotas"));
     }
 };
 
