--- a/unittests/transport/response_pipeline_test.cpp
+++ b/unittests/transport/response_pipeline_test.cpp
@@ -31,7 +31,7 @@
 {
     std::string written;
     while (auto ready = pipeline.take_ready()) {
-        written += ready->response.body + (ready->closes ? "|" : "");
+        written += ready->response.body.str() + (ready->closes ? "|" : "");
         pipeline.written();
     }
     return written;
