--- a/include/chestnutstand/admission/admission_queue.h
+++ b/include/chestnutstand/admission/admission_queue.h
@@ -44,9 +44,15 @@
 /// refused. It stores only request ids; the caller owns the requests. It does no I/O and reads no
 /// clock. Not thread-safe.
 ///
-/// Order: classes are served by configured rank, then by latency target, the lowest first, then by
-/// position in the document. A class that has earned a whole dispatch by its guaranteed share,
-/// reserve x weight / sum of weights, is served before all others.
+/// Order: requests that can still meet their latency target come before all that cannot, whose
+/// responses are worth less to their callers. Within both, classes are served by configured rank,
+/// then by latency target, the lowest first, then by position in the document. A class that has
+/// earned a whole dispatch by its guaranteed share, reserve x weight / sum of weights, is served
+/// before all others.
+///
+/// Refusal on arrival: a first try that would be late is refused while others wait, as its caller
+/// can come back when there is room; a caller that came back is queued as long as its deadline can
+/// be met.
 ///
 /// Guarantee: a class that has queued requests throughout N dispatches of any class receives at
 /// least N x share - (H(K) + share) of them, where share is its guaranteed share, K the number of
@@ -98,7 +104,9 @@
     bool is_delayed_by_rate_limit(std::size_t priority, time_point now);
 
     /// Admits, queues or refuses a request. Ids must be unique among all requests in the queue.
-    offer_result offer(std::uint64_t id, std::size_t priority, time_point deadline, time_point now);
+    /// The due time is that of class_queue::due_of_first_try() if it is not given.
+    offer_result offer(std::uint64_t id, std::size_t priority, time_point deadline, time_point now,
+                       std::optional<time_point> due = std::nullopt);
 
     /// The next request to start or to refuse. Call it until it returns nullopt, after each call of
     /// another non-const member and whenever the time of next_expiry() has passed. While requests
@@ -133,8 +141,9 @@
         return milliseconds{classes_[priority].service_time().optimistic_mean(now)};
     }
 
-    /// Expected queueing time of a request that arrives now.
-    milliseconds expected_wait(std::size_t priority, time_point now);
+    /// Expected queueing time of a request that arrives now, by default of a first try.
+    milliseconds expected_wait(std::size_t priority, time_point now,
+                               std::optional<time_point> due = std::nullopt);
 
     /// Current load; the caller has to set instance, upstream_registered and pace. Under a rate
     /// limit, the concurrency limit is the number of requests that run at once at that rate, and
@@ -148,10 +157,13 @@
         time_point started;
     };
 
-    reason_code refusal_of(std::uint64_t id, std::size_t priority, time_point deadline,
-                           time_point now);
-    milliseconds expected_wait_for_slot(std::size_t priority, time_point now);
-    milliseconds expected_wait_for_rate(std::size_t priority, time_point now);
+    reason_code refusal_of(const queued_request& request, std::size_t priority, time_point now);
+    bool should_come_back(const queued_request& request, class_queue& queue, milliseconds wait,
+                          time_point now);
+    milliseconds expected_wait_for_slot(std::size_t priority, time_point due, time_point now);
+    milliseconds expected_wait_for_rate(std::size_t priority, time_point due, time_point now);
+    /// Whether the first request of the class, in time or late, may start now.
+    bool may_start(std::size_t priority, bool in_time, time_point now) const;
     std::optional<std::size_t> pick(time_point now) const;
     std::optional<std::size_t> pick_guaranteed(time_point now) const;
     queue_decision start_next_of(std::size_t priority, time_point now);
--- a/include/chestnutstand/admission/class_queue.h
+++ b/include/chestnutstand/admission/class_queue.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <list>
+#include <map>
 #include <optional>
 #include <set>
 #include <unordered_map>
@@ -19,6 +20,9 @@
     std::uint64_t id = 0;
     time_point arrived;
     time_point deadline;
+    /// When the response has to be complete to meet the latency target, which counts from the
+    /// caller's first try.
+    time_point due;
 };
 
 /// A request that was removed from a class_queue in order to be refused.
@@ -29,12 +33,15 @@
 
 /// The queued requests of one priority class and the statistics of the class.
 ///
-/// Order: FIFO among the requests that can still meet the latency target, followed by the late
-/// requests, which are served with spare capacity only. With plain FIFO, every request is served
-/// late once the queueing time has reached the target. Adaptive LIFO serves the newest requests in
-/// time, but all others wait until they are refused, and it overtakes requests that were still in
-/// time. Here, refusals on arrival keep an overloaded queue short, so FIFO meets the target as well
-/// and a refused caller is told immediately.
+/// Order: by due time among the requests that can still meet the latency target, followed by the
+/// late requests in the order in which they became late; these are served with spare capacity only.
+/// Requests of callers that came back after a refusal are due sooner than new ones, and so are
+/// served before them: a new request that is refused can come back, one that came back usually
+/// cannot. With plain FIFO, every request is served late once the queueing time has reached the
+/// target. Adaptive LIFO serves the newest requests in time, but all others wait until they are
+/// refused, and it overtakes requests that were still in time. Here, refusals on arrival keep an
+/// overloaded queue short, so that the order meets the target as well and a refused caller is told
+/// immediately.
 class class_queue {
 public:
     class_queue(priority_config config, double guaranteed_share, std::size_t max_size);
@@ -44,8 +51,10 @@
 
     const priority_config& config() const { return config_; }
     double guaranteed_share() const { return guaranteed_share_; }
-    std::size_t size() const { return positions_.size(); }
-    bool empty() const { return positions_.empty(); }
+    std::size_t size() const { return requests_.size(); }
+    bool empty() const { return requests_.empty(); }
+    /// Whether a request can still meet the latency target, as of the last call that is not const.
+    bool has_in_time() const { return !in_time_.empty(); }
     bool full() const { return size() >= max_size_; }
 
     void push(const queued_request& request, time_point now);
@@ -62,10 +71,18 @@
     /// Earliest time at which a queued request may have to be refused.
     std::optional<time_point> next_expiry(time_point now) const;
 
-    /// Number of requests of this class that would be served before a new one.
-    std::size_t requests_ahead(time_point now);
-    /// Longest queueing time after which a request is still expected to meet the latency target.
+    /// Number of requests of this class that would be served before a new one with that due time.
+    std::size_t requests_ahead(time_point due, time_point now);
+    /// Longest queueing time after which a request of a first try is still expected to meet the
+    /// latency target.
     milliseconds target_slack(time_point now) const;
+    /// Latest start of a request with that due time that is still expected to be in time.
+    time_point latest_start(time_point due, time_point now) const
+    {
+        return due - (config_.latency_target - target_slack(now));
+    }
+    /// Due time of a request whose caller sends it for the first time now.
+    time_point due_of_first_try(time_point now) const { return now + config_.latency_target; }
     /// Updates the overloaded state and returns it. A call sets the state if the queue has then
     /// been non-empty for two latency targets without a break, which is longer than a burst that
     /// the capacity can absorb. A call resets it if the queue is then empty and the state was last
@@ -95,22 +112,26 @@
     std::optional<time_point> last_offer;
 
 private:
-    using request_list = std::list<queued_request>;
-    struct position {
-        bool late;
-        request_list::iterator request;
+    using late_list = std::list<std::uint64_t>;
+    struct entry {
+        queued_request request;
+        /// Position in late_; nullopt for a request in in_time_.
+        std::optional<late_list::iterator> late;
     };
 
     void move_late_requests(time_point now);
+    void add_late(std::uint64_t id);
+    std::uint64_t next_id() const;
     queued_request extract(std::uint64_t id);
     milliseconds overload_interval() const;
 
     priority_config config_;
     double guaranteed_share_;
     std::size_t max_size_;
-    request_list in_time_;
-    request_list late_;
-    std::unordered_map<std::uint64_t, position> positions_;
+    /// Ids by due time. Those with the same due time are in the order of arrival.
+    std::multimap<time_point, std::uint64_t> in_time_;
+    late_list late_;
+    std::unordered_map<std::uint64_t, entry> requests_;
     std::set<std::pair<time_point, std::uint64_t>> by_deadline_;
     std::optional<time_point> non_empty_since_;
     bool overloaded_ = false;
--- a/lib/admission/admission_queue.cpp
+++ b/lib/admission/admission_queue.cpp
@@ -19,6 +19,10 @@
 // The other half of class_queue::target_slack() allows for the variation of the estimate and of the
 // service time.
 constexpr double overloaded_wait_slack_fraction = 0.5;
+// Before the queue counts as overloaded, a burst that the capacity can absorb may fill it further.
+constexpr double wait_slack_fraction = 1.0;
+// Part of the latency target that a call may have spent on its way and still be a first try.
+constexpr milliseconds first_try_tolerance{20};
 // Less than 1, so that rounding errors in the sum of shares do not delay an earned dispatch.
 constexpr double earned_dispatch_credit = 1.0 - 1e-9;
 // A class without requests for this long is not expected to send one soon and gets no headroom.
@@ -71,15 +75,22 @@
 }
 
 offer_result admission_queue::offer(std::uint64_t id, std::size_t priority, time_point deadline,
-                                    time_point now)
+                                    time_point now, std::optional<time_point> due)
 {
-    if (const auto reason = refusal_of(id, priority, deadline, now); reason != reason_code::none) {
-        return {offer_state::refused, reason};
+    if (draining_) {
+        return {offer_state::refused, reason_code::draining};
+    }
+    if (priority >= classes_.size()) {
+        return {offer_state::refused, reason_code::unknown_priority};
     }
     auto& queue = classes_[priority];
+    const queued_request request{id, now, deadline, due.value_or(queue.due_of_first_try(now))};
+    if (const auto reason = refusal_of(request, priority, now); reason != reason_code::none) {
+        return {offer_state::refused, reason};
+    }
     queue.arrivals().add(now);
     queue.last_offer = now;
-    queue.push({id, now, deadline}, now);
+    queue.push(request, now);
     queued_[id] = priority;
     if (queue.size() == 1 && pick(now) == priority) {
         start_next_of(priority, now);
@@ -88,38 +99,47 @@
     return {offer_state::queued, reason_code::none};
 }
 
-reason_code admission_queue::refusal_of(std::uint64_t id, std::size_t priority, time_point deadline,
+reason_code admission_queue::refusal_of(const queued_request& request, std::size_t priority,
                                         time_point now)
 {
-    if (draining_) {
-        return reason_code::draining;
-    }
-    if (priority >= classes_.size()) {
-        return reason_code::unknown_priority;
-    }
     auto& queue = classes_[priority];
-    if (queued_.contains(id) || running_.contains(id)) {
+    if (queued_.contains(request.id) || running_.contains(request.id)) {
         return reason_code::internal;
     }
     if (queue.full()) {
         return reason_code::queue_full;
     }
-    const auto wait = expected_wait(priority, now);
-    if (now + wait + milliseconds{queue.service_time().optimistic_mean(now)} >= deadline) {
+    const auto wait = expected_wait(priority, now, request.due);
+    if (now + wait + milliseconds{queue.service_time().optimistic_mean(now)} >= request.deadline) {
         queue.refused_while_empty = queue.empty();
         return reason_code::deadline_unmeetable;
     }
-    // A request that met the check of its deadline above is not refused because of an overload
-    // while the queue is empty, so that the class keeps a queued request and receives its
-    // guaranteed share.
-    if (!queue.empty() && queue.update_overloaded(now) &&
-        wait > queue.target_slack(now) * overloaded_wait_slack_fraction) {
+    if (should_come_back(request, queue, wait, now)) {
         queue.prolong_overload(now);
         return reason_code::queue_full;
     }
     return reason_code::none;
 }
 
+/// Whether a request whose deadline can be met is refused because of an overload. Never while the
+/// queue of its class is empty, so that the class keeps a queued request and receives its
+/// guaranteed share.
+bool admission_queue::should_come_back(const queued_request& request, class_queue& queue,
+                                       milliseconds wait, time_point now)
+{
+    if (queue.empty()) {
+        return false;
+    }
+    const bool is_first_try = request.due >= queue.due_of_first_try(now) - first_try_tolerance;
+    const milliseconds slack = queue.latest_start(request.due, now) - now;
+    if (is_first_try) {
+        const bool overloaded = queue.update_overloaded(now);
+        return wait > slack * (overloaded ? overloaded_wait_slack_fraction : wait_slack_fraction);
+    }
+    // The slack of one that came back is short or over.
+    return queue.update_overloaded(now) && slack > milliseconds{0} && wait > slack;
+}
+
 std::optional<queue_decision> admission_queue::next(time_point now)
 {
     if (auto refused = next_refusal(now)) {
@@ -156,15 +176,23 @@
     if (const auto guaranteed = pick_guaranteed(now)) {
         return guaranteed;
     }
-    for (const auto priority : by_urgency_) {
-        if (!classes_[priority].empty() && has_room(priority, now) &&
-            is_worth_starting(classes_[priority], now)) {
-            return priority;
+    for (const bool in_time : {true, false}) {
+        for (const auto priority : by_urgency_) {
+            if (may_start(priority, in_time, now)) {
+                return priority;
+            }
         }
     }
     return std::nullopt;
 }
 
+bool admission_queue::may_start(std::size_t priority, bool in_time, time_point now) const
+{
+    const auto& queue = classes_[priority];
+    return !queue.empty() && queue.has_in_time() == in_time && has_room(priority, now) &&
+           is_worth_starting(queue, now);
+}
+
 std::optional<std::size_t> admission_queue::pick_guaranteed(time_point now) const
 {
     std::optional<std::size_t> best;
@@ -223,12 +251,10 @@
     const milliseconds usual{queue.service_time().optimistic_mean(now)};
     const milliseconds slow = usual * slowdown_;
     const auto& first = queue.front();
-    const milliseconds waited = now - first.arrived;
-    const milliseconds target = queue.config().latency_target;
-    if (waited + slow <= target) {
+    if (now + slow <= first.due) {
         return true;
     }
-    const bool may_meet_target = waited + usual <= target;
+    const bool may_meet_target = now + usual <= first.due;
     const bool meets_deadline = now + slow <= first.deadline;
     const bool deadline_near = now + slow + deadline_start_margin >= first.deadline;
     return !may_meet_target && meets_deadline && deadline_near;
@@ -317,24 +343,29 @@
 
 bool admission_queue::is_delayed_by_rate_limit(std::size_t priority, time_point now)
 {
-    return expected_wait_for_rate(priority, now) >
-           classes_[priority].config().latency_target * tolerable_rate_wait_target_fraction;
+    const auto& queue = classes_[priority];
+    return expected_wait_for_rate(priority, queue.due_of_first_try(now), now) >
+           queue.config().latency_target * tolerable_rate_wait_target_fraction;
 }
 
-milliseconds admission_queue::expected_wait(std::size_t priority, time_point now)
+milliseconds admission_queue::expected_wait(std::size_t priority, time_point now,
+                                            std::optional<time_point> due)
 {
-    return std::max(expected_wait_for_slot(priority, now), expected_wait_for_rate(priority, now));
+    const time_point due_at = due.value_or(classes_[priority].due_of_first_try(now));
+    return std::max(expected_wait_for_slot(priority, due_at, now),
+                    expected_wait_for_rate(priority, due_at, now));
 }
 
 /// Expected time until the rate limit lets a request that arrives now start, after those that are
 /// served before it.
-milliseconds admission_queue::expected_wait_for_rate(std::size_t priority, time_point now)
+milliseconds admission_queue::expected_wait_for_rate(std::size_t priority, time_point due,
+                                                     time_point now)
 {
     if (!rate_limit_.per_second()) {
         return milliseconds{0};
     }
     const double limit_per_ms = *rate_limit_.per_second() / ms_per_second;
-    double ahead = static_cast<double>(classes_[priority].requests_ahead(now));
+    double ahead = static_cast<double>(classes_[priority].requests_ahead(due, now));
     double left_per_ms = limit_per_ms;
     for (const auto index : by_urgency_) {
         if (index == priority) {
@@ -352,10 +383,11 @@
                              : milliseconds{std::numeric_limits<double>::infinity()};
 }
 
-milliseconds admission_queue::expected_wait_for_slot(std::size_t priority, time_point now)
+milliseconds admission_queue::expected_wait_for_slot(std::size_t priority, time_point due,
+                                                     time_point now)
 {
     auto& queue = classes_[priority];
-    const auto ahead_in_class = queue.requests_ahead(now);
+    const auto ahead_in_class = queue.requests_ahead(due, now);
     const double total_per_ms = dispatches_per_ms(priority, now);
     const auto service_ms = [now](const class_queue& measured) {
         return measured.service_time().blended_mean(measured.config().latency_target.count(), now);
--- a/lib/admission/class_queue.cpp
+++ b/lib/admission/class_queue.cpp
@@ -1,6 +1,7 @@
 #include "chestnutstand/admission/class_queue.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace chestnutstand {
@@ -39,29 +40,38 @@
         non_empty_since_ = now;
     }
     refused_while_empty = false;
-    in_time_.push_back(request);
-    positions_[request.id] = {false, std::prev(in_time_.end())};
+    requests_[request.id] = {request, std::nullopt};
     by_deadline_.emplace(request.deadline, request.id);
+    if (latest_start(request.due, now) < now) {
+        add_late(request.id);
+        return;
+    }
+    in_time_.emplace(request.due, request.id);
 }
 
 bool class_queue::remove(std::uint64_t id)
 {
-    if (!positions_.contains(id)) {
+    if (!requests_.contains(id)) {
         return false;
     }
     extract(id);
     return true;
 }
 
+std::uint64_t class_queue::next_id() const
+{
+    return in_time_.empty() ? late_.front() : in_time_.begin()->second;
+}
+
 const queued_request& class_queue::front() const
 {
-    return in_time_.empty() ? late_.front() : in_time_.front();
+    return requests_.at(next_id()).request;
 }
 
 queued_request class_queue::pop(time_point now)
 {
     move_late_requests(now);
-    return extract(in_time_.empty() ? late_.front().id : in_time_.front().id);
+    return extract(next_id());
 }
 
 std::optional<refused_request> class_queue::take_refused(time_point now)
@@ -77,7 +87,7 @@
     move_late_requests(now);
     if (!late_.empty() && update_overloaded(now)) {
         prolong_overload(now);
-        return refused_request{extract(late_.front().id), reason_code::queue_timeout};
+        return refused_request{extract(late_.front()), reason_code::queue_timeout};
     }
     return std::nullopt;
 }
@@ -97,15 +107,18 @@
     }
     auto due = by_deadline_.begin()->first - milliseconds{service_time_.optimistic_mean(now)};
     if (!in_time_.empty()) {
-        due = std::min(due, in_time_.front().arrived + target_slack(now));
+        due = std::min(due, latest_start(in_time_.begin()->first, now));
     }
     return std::max(due, now + min_expiry_delay);
 }
 
-std::size_t class_queue::requests_ahead(time_point now)
+std::size_t class_queue::requests_ahead(time_point due, time_point now)
 {
     move_late_requests(now);
-    return in_time_.size();
+    if (latest_start(due, now) < now) {
+        return size();
+    }
+    return static_cast<std::size_t>(std::distance(in_time_.begin(), in_time_.upper_bound(due)));
 }
 
 milliseconds class_queue::target_slack(time_point now) const
@@ -134,21 +147,32 @@
 
 void class_queue::move_late_requests(time_point now)
 {
-    const auto slack = target_slack(now);
-    while (!in_time_.empty() && in_time_.front().arrived + slack < now) {
-        positions_[in_time_.front().id].late = true;
-        late_.splice(late_.end(), in_time_, in_time_.begin());
+    while (!in_time_.empty() && latest_start(in_time_.begin()->first, now) < now) {
+        const std::uint64_t id = in_time_.begin()->second;
+        in_time_.erase(in_time_.begin());
+        add_late(id);
     }
 }
 
+void class_queue::add_late(std::uint64_t id)
+{
+    requests_.at(id).late = late_.insert(late_.end(), id);
+}
+
 queued_request class_queue::extract(std::uint64_t id)
 {
-    const auto found = positions_.find(id);
-    const auto [late, request_at] = found->second;
-    const auto request = *request_at;
-    (late ? late_ : in_time_).erase(request_at);
+    const auto found = requests_.find(id);
+    const auto [request, late] = found->second;
+    if (late) {
+        late_.erase(*late);
+    }
+    else {
+        const auto [first, last] = in_time_.equal_range(request.due);
+        in_time_.erase(
+            std::find_if(first, last, [id](const auto& queued) { return queued.second == id; }));
+    }
     by_deadline_.erase({request.deadline, id});
-    positions_.erase(found);
+    requests_.erase(found);
     if (empty()) {
         non_empty_since_.reset();
     }
