--- a/include/chestnutstand/node/ingress.h
+++ b/include/chestnutstand/node/ingress.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "chestnutstand/config/settings.h"
+#include "chestnutstand/admission/caller_time_limits.h"
 #include "chestnutstand/node/dispatcher.h"
 #include "chestnutstand/node/key_router.h"
 #include "chestnutstand/support/metrics.h"
@@ -97,6 +98,7 @@
     quota_service* quotas_ = nullptr;
     metrics& stats_;
     tenant_counters tenants_;
+    caller_time_limits time_limits_;
     std::atomic<std::uint64_t> next_call_ = 0;
     /// Index into the low-discrepancy sequence that places requests in the split of their route.
     std::atomic<std::uint64_t> next_position_ = 0;
--- a/include/chestnutstand/routing/upstream_selector.h
+++ b/include/chestnutstand/routing/upstream_selector.h
@@ -33,6 +33,14 @@
     std::optional<fleet_retry_limits> retry_limits;
 };
 
+/// What a member is chosen for.
+struct placement_request {
+    const std::string& service;
+    std::string_view priority;
+    /// Whether only members in the data centre of this node are considered.
+    bool own_data_centre_only = false;
+};
+
 /// Chooses members for calls and learns from their replies. Safe for concurrent use; does no I/O.
 class upstream_selector {
 public:
@@ -49,9 +57,19 @@
     /// the call, so that fewer calls are served. Calls of the most urgent class are sent to more
     /// members before this limit applies, because they are a small part of such a load and their
     /// refusals cost most.
-    std::shared_ptr<peer> choose(const std::string& service, std::string_view priority,
+    ///
+    /// A call with a large body is placed in the own data centre first, also if it has to wait
+    /// there: under load, members in other data centres have spare capacity more often than the few
+    /// near ones, and most large bodies would cross the links between data centres.
+    std::shared_ptr<peer> choose(const placement_request& request,
                                  const std::vector<std::uint64_t>& excluded,
                                  std::size_t queue_refusals = 0);
+    std::shared_ptr<peer> choose(const std::string& service, std::string_view priority,
+                                 const std::vector<std::uint64_t>& excluded,
+                                 std::size_t queue_refusals = 0)
+    {
+        return choose({service, priority}, excluded, queue_refusals);
+    }
 
     /// Returns the member with the instance of the node. For a node that is not a member, returns a
     /// new entry that belongs to no service.
@@ -114,7 +132,7 @@
     /// otherwise, even if another member has a stale report.
     std::shared_ptr<peer> random_member_if_stale(const service_state& state, time_point now);
     void configure(service_state& state, const service_config& config) const;
-    std::shared_ptr<peer> choose_member(service_state& state, std::string_view priority,
+    std::shared_ptr<peer> choose_member(service_state& state, const placement_request& request,
                                         const std::vector<std::uint64_t>& excluded,
                                         std::size_t queue_refusals);
     candidate candidate_for(const peer& entry) const;
--- a/lib/node/dispatched_call.h
+++ b/lib/node/dispatched_call.h
@@ -33,8 +33,9 @@
 /// State of one dispatched call and its attempts.
 struct dispatched_call {
     dispatched_call(const service_call& dispatched, call_done callback, bool may_repeat)
-        : call{dispatched}, done{std::move(callback)},
-          idempotent{may_repeat}, budget{std::min(dispatched.retry_budget, max_tree_budget)}
+        : call{dispatched}, done{std::move(callback)}, idempotent{may_repeat},
+          own_data_centre_only{dispatched.is_bulk}, budget{std::min(dispatched.retry_budget,
+                                                                    max_tree_budget)}
     {
     }
 
@@ -42,6 +43,9 @@
     const call_done done;
     const bool idempotent;
 
+    /// Whether the call is sent only to members in the data centre of this node. Ends when none of
+    /// them can serve it.
+    bool own_data_centre_only;
     const time_point started = ms_clock::now();
     std::mutex mutex;
     tree_budget budget;
@@ -78,6 +82,13 @@
         absl::StrAppend(&history, history.empty() ? "" : " ", end, "@", absl::Hex(member));
     }
 
+    /// Lets the call be sent to members in other data centres. Returns false if it could be before.
+    bool leave_data_centre()
+    {
+        deferring_members_allowed = deferring_members_allowed && !own_data_centre_only;
+        return std::exchange(own_data_centre_only, false);
+    }
+
     /// Makes the deferring members eligible again, and lets the call wait for them. Returns false
     /// if there are none.
     bool allow_deferring_members()
--- a/lib/node/dispatcher.cpp
+++ b/lib/node/dispatcher.cpp
@@ -236,12 +236,16 @@
         attempt->budget = *carried;
         const service_call& call = state->call;
         const auto choose = [&] {
-            return selector_.choose(call.service, call.priority, state->tried_members,
-                                    state->queue_refusals);
+            return selector_.choose({call.service, call.priority, state->own_data_centre_only},
+                                    state->tried_members, state->queue_refusals);
         };
-        attempt->target = choose();
-        if (!attempt->target && state->allow_deferring_members()) {
-            attempt->target = choose();
+        const auto choose_or_defer = [&] {
+            auto chosen = choose();
+            return chosen || !state->allow_deferring_members() ? chosen : choose();
+        };
+        attempt->target = choose_or_defer();
+        if (!attempt->target && state->leave_data_centre()) {
+            attempt->target = choose_or_defer();
         }
         if (!attempt->target) {
             state->budget.give_back(attempt->budget);
--- a/lib/node/executor_queue.cpp
+++ b/lib/node/executor_queue.cpp
@@ -75,7 +75,8 @@
                                      report_locked(), execution->call.request_id});
         return;
     }
-    const auto offered = queue_->offer(execution->id, priority, execution->call.deadline, now);
+    const auto offered =
+        queue_->offer(execution->id, priority, execution->call.deadline, now, execution->call.due);
     if (offered.result == offer_state::refused) {
         discard_attempt(*execution);
         deferred.refusals.push_back({execution->done, execution->key, offered.reason,
--- a/lib/routing/upstream_selector.cpp
+++ b/lib/routing/upstream_selector.cpp
@@ -166,13 +166,19 @@
 }
 
 std::shared_ptr<peer> upstream_selector::choose_member(service_state& state,
-                                                       std::string_view priority,
+                                                       const placement_request& request,
                                                        const std::vector<std::uint64_t>& excluded,
                                                        std::size_t queue_refusals)
 {
     const time_point now = options_.now();
-    const selection_context context{state.order.urgency_index(priority), now};
+    const selection_context context{state.order.urgency_index(request.priority), now};
     peer_list eligible = state.peers.eligible(excluded, now, random_);
+    if (request.own_data_centre_only) {
+        std::erase_if(eligible, [&](const auto& entry) {
+            return entry->data_centre != options_.data_centre ||
+                   state.peers.is_avoided_or_ejected(*entry, now);
+        });
+    }
     if (queue_refusals >= max_refusals_before_filter(context.urgency_index)) {
         std::erase_if(eligible, [&](const auto& entry) {
             return !has_known_spare_capacity(entry->load.read(context.urgency_index, now));
@@ -189,14 +195,13 @@
     return eligible[state.policy->choose(candidates, context, random_)];
 }
 
-std::shared_ptr<peer> upstream_selector::choose(const std::string& service,
-                                                std::string_view priority,
+std::shared_ptr<peer> upstream_selector::choose(const placement_request& request,
                                                 const std::vector<std::uint64_t>& excluded,
                                                 std::size_t queue_refusals)
 {
     const std::lock_guard lock{mutex_};
-    service_state* state = find_service(service);
-    return state == nullptr ? nullptr : choose_member(*state, priority, excluded, queue_refusals);
+    service_state* state = find_service(request.service);
+    return state == nullptr ? nullptr : choose_member(*state, request, excluded, queue_refusals);
 }
 
 std::shared_ptr<peer> upstream_selector::find(const std::string& service,
@@ -257,7 +262,7 @@
     const std::lock_guard lock{mutex_};
     service_state* state = find_service(service);
     while (state != nullptr && chosen.size() < count) {
-        const std::shared_ptr<peer> next = choose_member(*state, priority, excluded, 0);
+        const std::shared_ptr<peer> next = choose_member(*state, {service, priority}, excluded, 0);
         if (!next) {
             break;
         }
--- a/unittests/replay/replay_member.cpp
+++ b/unittests/replay/replay_member.cpp
@@ -55,7 +55,7 @@
     }
     entry->priority = options_.by_urgency ? queue_.find_priority(call.priority).value_or(0) : 0;
     const std::uint64_t id = ++last_id_;
-    const auto result = queue_.offer(id, entry->priority, call.deadline, loop_.now());
+    const auto result = queue_.offer(id, entry->priority, call.deadline, loop_.now(), call.due);
     if (result.result == offer_state::refused) {
         refuse(entry, result.reason);
         return;
