--- a/include/chestnutstand/admission/admission_queue.h
+++ b/include/chestnutstand/admission/admission_queue.h
@@ -176,7 +176,7 @@
     };
 
     reason_code refusal_of(const queued_request& request, std::size_t priority, time_point now);
-    bool should_come_back(const queued_request& request, class_queue& queue, milliseconds wait,
+    bool should_come_back(const queued_request& request, std::size_t priority, milliseconds wait,
                           time_point now);
     milliseconds expected_wait_for_slot(std::size_t priority, time_point due, time_point now);
     milliseconds expected_wait_for_rate(std::size_t priority, time_point due, time_point now);
--- a/lib/admission/admission_queue.cpp
+++ b/lib/admission/admission_queue.cpp
@@ -14,9 +14,7 @@
 // The other half of class_queue::target_slack() allows for the variation of the estimate and of the
 // service time.
 constexpr double overloaded_wait_slack_fraction = 0.5;
-// Before the queue counts as overloaded, a burst that the capacity can absorb may fill it further.
-constexpr double wait_slack_fraction = 1.0;
-// Part of the latency target that a call may have spent on its way and still be a first try.
+// Time that a first try may have spent on its way between the nodes.
 constexpr milliseconds first_try_tolerance{20};
 // Less than 1, so that rounding errors in the sum of shares do not delay an earned dispatch.
 constexpr double earned_dispatch_credit = 1.0 - 1e-9;
@@ -109,7 +107,7 @@
         queue.refused_while_empty = queue.empty();
         return reason_code::deadline_unmeetable;
     }
-    if (should_come_back(request, queue, wait, now)) {
+    if (should_come_back(request, priority, wait, now)) {
         queue.prolong_overload(now);
         return reason_code::queue_full;
     }
@@ -119,17 +117,20 @@
 /// Whether a request whose deadline can be met is refused because of an overload. Never while the
 /// queue of its class is empty, so that the class keeps a queued request and receives its
 /// guaranteed share.
-bool admission_queue::should_come_back(const queued_request& request, class_queue& queue,
+bool admission_queue::should_come_back(const queued_request& request, std::size_t priority,
                                        milliseconds wait, time_point now)
 {
+    auto& queue = classes_[priority];
     if (queue.empty()) {
         return false;
     }
     const bool is_first_try = request.due >= queue.due_of_first_try(now) - first_try_tolerance;
     const milliseconds slack = queue.latest_start(request.due, now) - now;
+    const milliseconds wait_for_slot = expected_wait_for_slot(priority, request.due, now);
     if (is_first_try) {
+        // A rate limit can be lifted at any moment; slots do not become free sooner than expected.
         const bool overloaded = queue.update_overloaded(now);
-        return wait > slack * (overloaded ? overloaded_wait_slack_fraction : wait_slack_fraction);
+        return overloaded ? wait > slack * overloaded_wait_slack_fraction : wait_for_slot > slack;
     }
     // The slack of one that came back is short or over.
     return queue.update_overloaded(now) && slack > milliseconds{0} && wait > slack;
--- a/unittests/node/dispatcher_test.cpp
+++ b/unittests/node/dispatcher_test.cpp
@@ -305,5 +305,35 @@
     EXPECT_EQ(instances.size(), 3U);
 }
 
+// Guards against large bodies that cross the links between data centres under load although the own
+// data centre could serve them later, and against a call that fails because the own one cannot.
+TEST_F(dispatcher_test, places_large_bodies_in_the_own_data_centre_first)
+{
+    auto table = std::make_shared<routing_table>();
+    for (std::uint64_t i = 1; i <= 6; ++i) {
+        member entry;
+        entry.node = {i, "127.0.0.1", static_cast<std::uint16_t>(i)};
+        entry.service = "ledger";
+        // dispatcher_options::data_centre of the fixture is empty.
+        entry.data_centre = i <= 2 ? "" : "far";
+        table->by_service["ledger"].push_back(entry);
+    }
+    routes_.store(std::move(table));
+    answer_with(
+        [](int index) { return index < 2 ? not_run(reason_code::queue_full) : answer(200); });
+    service_call call;
+    call.service = "ledger";
+    call.priority = "lookup";
+    call.deadline = now_ + milliseconds{1000};
+    call.is_bulk = true;
+    std::optional<call_result> result;
+    dispatcher_->dispatch(call, [&](call_result reported) { result = std::move(reported); });
+    ASSERT_EQ(attempts_.size(), 3U);
+    EXPECT_LE(attempts_[0].instance, 2U);
+    EXPECT_LE(attempts_[1].instance, 2U);
+    EXPECT_GT(attempts_[2].instance, 2U);
+    EXPECT_EQ(result->outcome, call_outcome::completed);
+}
+
 } // namespace
 } // namespace chestnutstand
