--- a/include/chestnutstand/transport/call.h
+++ b/include/chestnutstand/transport/call.h
@@ -67,6 +67,14 @@
     std::string service;
     std::string priority;
     time_point deadline;
+    /// When the response has to be complete to meet the latency target, which counts from the
+    /// caller's first try; nullopt if the call is a first try that begins at its arrival.
+    std::optional<time_point> due;
+    /// Time limit that the caller named; zero for none. Not sent to other nodes.
+    milliseconds caller_time_limit{0};
+    /// Whether the request or its response is large, so that it should stay within the data centre
+    /// as long as it can be served in time there. Not sent to other nodes.
+    bool is_bulk = false;
     std::uint32_t depth = 0;
     /// Attempts left for the whole call tree below this call.
     std::uint32_t retry_budget = 0;
--- a/lib/admission/admission_queue.cpp
+++ b/lib/admission/admission_queue.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 #include <numeric>
 #include <tuple>
 
@@ -11,14 +10,12 @@
 
 constexpr double service_time_samples = 32.0;
 constexpr milliseconds service_time_half_life{500};
-constexpr double min_service_time_ms = 0.01;
 constexpr double ms_per_second = 1'000.0;
-// Sending a request to another upstream takes a few milliseconds and may end in its queue, so that
-// a wait of at most a quarter of the latency target is preferred.
-constexpr double tolerable_rate_wait_target_fraction = 0.25;
 // The other half of class_queue::target_slack() allows for the variation of the estimate and of the
 // service time.
 constexpr double overloaded_wait_slack_fraction = 0.5;
+// Time that a first try may have spent on its way between the nodes.
+constexpr milliseconds first_try_tolerance{20};
 // Less than 1, so that rounding errors in the sum of shares do not delay an earned dispatch.
 constexpr double earned_dispatch_credit = 1.0 - 1e-9;
 // A class without requests for this long is not expected to send one soon and gets no headroom.
@@ -71,15 +68,22 @@
 }
 
 offer_result admission_queue::offer(std::uint64_t id, std::size_t priority, time_point deadline,
-                                    time_point now)
+                                    time_point now, std::optional<time_point> due)
 {
-    if (const auto reason = refusal_of(id, priority, deadline, now); reason != reason_code::none) {
-        return {offer_state::refused, reason};
+    if (draining_) {
+        return {offer_state::refused, reason_code::draining};
+    }
+    if (priority >= classes_.size()) {
+        return {offer_state::refused, reason_code::unknown_priority};
     }
     auto& queue = classes_[priority];
+    const queued_request request{id, now, deadline, due.value_or(queue.due_of_first_try(now))};
+    if (const auto reason = refusal_of(request, priority, now); reason != reason_code::none) {
+        return {offer_state::refused, reason};
+    }
     queue.arrivals().add(now);
     queue.last_offer = now;
-    queue.push({id, now, deadline}, now);
+    queue.push(request, now);
     queued_[id] = priority;
     if (queue.size() == 1 && pick(now) == priority) {
         start_next_of(priority, now);
@@ -88,38 +92,50 @@
     return {offer_state::queued, reason_code::none};
 }
 
-reason_code admission_queue::refusal_of(std::uint64_t id, std::size_t priority, time_point deadline,
+reason_code admission_queue::refusal_of(const queued_request& request, std::size_t priority,
                                         time_point now)
 {
-    if (draining_) {
-        return reason_code::draining;
-    }
-    if (priority >= classes_.size()) {
-        return reason_code::unknown_priority;
-    }
     auto& queue = classes_[priority];
-    if (queued_.contains(id) || running_.contains(id)) {
+    if (queued_.contains(request.id) || running_.contains(request.id)) {
         return reason_code::internal;
     }
     if (queue.full()) {
         return reason_code::queue_full;
     }
-    const auto wait = expected_wait(priority, now);
-    if (now + wait + milliseconds{queue.service_time().optimistic_mean(now)} >= deadline) {
+    const auto wait = expected_wait(priority, now, request.due);
+    if (now + wait + milliseconds{queue.service_time().optimistic_mean(now)} >= request.deadline) {
         queue.refused_while_empty = queue.empty();
         return reason_code::deadline_unmeetable;
     }
-    // A request that met the check of its deadline above is not refused because of an overload
-    // while the queue is empty, so that the class keeps a queued request and receives its
-    // guaranteed share.
-    if (!queue.empty() && queue.update_overloaded(now) &&
-        wait > queue.target_slack(now) * overloaded_wait_slack_fraction) {
+    if (should_come_back(request, priority, wait, now)) {
         queue.prolong_overload(now);
         return reason_code::queue_full;
     }
     return reason_code::none;
 }
 
+/// Whether a request whose deadline can be met is refused because of an overload. Never while the
+/// queue of its class is empty, so that the class keeps a queued request and receives its
+/// guaranteed share.
+bool admission_queue::should_come_back(const queued_request& request, std::size_t priority,
+                                       milliseconds wait, time_point now)
+{
+    auto& queue = classes_[priority];
+    if (queue.empty()) {
+        return false;
+    }
+    const bool is_first_try = request.due >= queue.due_of_first_try(now) - first_try_tolerance;
+    const milliseconds slack = queue.latest_start(request.due, now) - now;
+    const milliseconds wait_for_slot = expected_wait_for_slot(priority, request.due, now);
+    if (is_first_try) {
+        // A rate limit can be lifted at any moment; slots do not become free sooner than expected.
+        const bool overloaded = queue.update_overloaded(now);
+        return overloaded ? wait > slack * overloaded_wait_slack_fraction : wait_for_slot > slack;
+    }
+    // The slack of one that came back is short or over.
+    return queue.update_overloaded(now) && slack > milliseconds{0} && wait > slack;
+}
+
 std::optional<queue_decision> admission_queue::next(time_point now)
 {
     if (auto refused = next_refusal(now)) {
@@ -157,15 +173,23 @@
     if (const auto guaranteed = pick_guaranteed(now)) {
         return guaranteed;
     }
-    for (const auto priority : by_urgency_) {
-        if (!classes_[priority].empty() && has_room(priority, now) &&
-            is_worth_starting(classes_[priority], now)) {
-            return priority;
+    for (const bool in_time : {true, false}) {
+        for (const auto priority : by_urgency_) {
+            if (may_start(priority, in_time, now)) {
+                return priority;
+            }
         }
     }
     return std::nullopt;
 }
 
+bool admission_queue::may_start(std::size_t priority, bool in_time, time_point now) const
+{
+    const auto& queue = classes_[priority];
+    return !queue.empty() && queue.has_in_time() == in_time && has_room(priority, now) &&
+           is_worth_starting(queue, now);
+}
+
 std::optional<std::size_t> admission_queue::pick_guaranteed(time_point now) const
 {
     std::optional<std::size_t> best;
@@ -224,12 +248,10 @@
     const milliseconds usual{queue.service_time().optimistic_mean(now)};
     const milliseconds slow = usual * slowdown_;
     const auto& first = queue.front();
-    const milliseconds waited = now - first.arrived;
-    const milliseconds target = queue.config().latency_target;
-    if (waited + slow <= target) {
+    if (now + slow <= first.due) {
         return true;
     }
-    const bool may_meet_target = waited + usual <= target;
+    const bool may_meet_target = now + usual <= first.due;
     const bool meets_deadline = now + slow <= first.deadline;
     const bool deadline_near = now + slow + deadline_start_margin >= first.deadline;
     return !may_meet_target && meets_deadline && deadline_near;
@@ -316,100 +338,6 @@
     return earliest;
 }
 
-bool admission_queue::is_delayed_by_rate_limit(std::size_t priority, time_point now)
-{
-    return expected_wait_for_rate(priority, now) >
-           classes_[priority].config().latency_target * tolerable_rate_wait_target_fraction;
-}
-
-milliseconds admission_queue::expected_wait(std::size_t priority, time_point now)
-{
-    return std::max(expected_wait_for_slot(priority, now), expected_wait_for_rate(priority, now));
-}
-
-/// Expected time until the rate limit lets a request that arrives now start, after those that are
-/// served before it.
-milliseconds admission_queue::expected_wait_for_rate(std::size_t priority, time_point now)
-{
-    const auto limit = rate_limit_.per_second(now);
-    if (!limit) {
-        return milliseconds{0};
-    }
-    const double limit_per_ms = *limit / ms_per_second;
-    double ahead = static_cast<double>(classes_[priority].requests_ahead(now));
-    double left_per_ms = limit_per_ms;
-    for (const auto index : by_urgency_) {
-        if (index == priority) {
-            break;
-        }
-        ahead += static_cast<double>(classes_[index].size());
-        left_per_ms -= classes_[index].dispatches().per_ms(now);
-    }
-    left_per_ms = std::max(left_per_ms, limit_per_ms * classes_[priority].guaranteed_share());
-    const milliseconds first = rate_limit_.wait_for(1.0, now);
-    if (ahead <= 0.0) {
-        return first;
-    }
-    return left_per_ms > 0.0 ? first + milliseconds{ahead / left_per_ms}
-                             : milliseconds{std::numeric_limits<double>::infinity()};
-}
-
-milliseconds admission_queue::expected_wait_for_slot(std::size_t priority, time_point now)
-{
-    auto& queue = classes_[priority];
-    const auto ahead_in_class = queue.requests_ahead(now);
-    const double total_per_ms = dispatches_per_ms(priority, now);
-    const auto service_ms = [now](const class_queue& measured) {
-        return measured.service_time().blended_mean(measured.config().latency_target.count(), now);
-    };
-    // Slots that this class leaves free for more urgent ones do not shorten its wait.
-    const std::uint32_t reserved_slots = headroom(priority, now);
-    double work_ahead_ms = static_cast<double>(ahead_in_class + 1) * service_ms(queue);
-    double slots_left = static_cast<double>(limit_.value()) - reserved_slots;
-    bool is_more_urgent = true;
-    bool first_in_line = ahead_in_class == 0;
-    for (const auto index : by_urgency_) {
-        const auto& other = classes_[index];
-        if (index == priority) {
-            is_more_urgent = false;
-        }
-        else if (is_more_urgent) {
-            // More urgent requests that arrive during the wait are served first; they are assumed
-            // to arrive at the recent dispatch rate of their class.
-            first_in_line = first_in_line && other.empty();
-            work_ahead_ms += static_cast<double>(other.size()) * service_ms(other);
-            slots_left -= other.dispatches().per_ms(now) * service_ms(other);
-        }
-        else if (!other.empty()) {
-            slots_left -= other.guaranteed_share() * total_per_ms * service_ms(other);
-        }
-    }
-    if (first_in_line && in_flight() + reserved_slots < limit_.value()) {
-        return milliseconds{0};
-    }
-    const double wait_for_free_slot_ms =
-        slots_left > 0.0 ? work_ahead_ms / slots_left : std::numeric_limits<double>::infinity();
-    // The class receives its guaranteed share regardless of the load of the other classes, so it
-    // waits at most until the share has earned the dispatches that this request needs.
-    const double dispatches_to_earn =
-        std::max(0.0, static_cast<double>(ahead_in_class + 1) - queue.credit);
-    const double guaranteed_per_ms = total_per_ms * queue.guaranteed_share();
-    const double wait_for_guarantee_ms =
-        guaranteed_per_ms > 0.0 ? dispatches_to_earn / guaranteed_per_ms + 1.0 / total_per_ms
-                                : std::numeric_limits<double>::infinity();
-    return milliseconds{std::min(wait_for_free_slot_ms, wait_for_guarantee_ms)};
-}
-
-/// Rate at which requests start while all slots are in use. Until a service time has been measured,
-/// the latency target of the class is used as its estimate, so that requests are neither all
-/// admitted nor all refused.
-double admission_queue::dispatches_per_ms(std::size_t priority, time_point now) const
-{
-    const double prior_ms = classes_[priority].config().latency_target.count();
-    return limit_.value() /
-           std::max(min_service_time_ms, service_time_.blended_mean(prior_ms, now));
-}
-
 void admission_queue::set_classes(const service_config& service)
 {
     std::vector<class_queue> previous;
--- a/lib/node/call_parser.cpp
+++ b/lib/node/call_parser.cpp
@@ -170,7 +170,11 @@
         return refusal{reason_code::malformed_deadline,
                        names.timeout_ms + " must be an integer of milliseconds"};
     }
-    result.deadline = std::min(result.deadline, now + milliseconds{static_cast<double>(*timeout)});
+    const milliseconds named{static_cast<double>(*timeout)};
+    result.deadline = std::min(result.deadline, now + named);
+    result.caller_time_limit = named < max_timeout ? named : milliseconds{0};
+    result.is_bulk =
+        matched->kind == request_kind::download || matched->kind == request_kind::upload;
     result.request_id = std::string{find_header(request.headers, names.request_id).value_or("")};
     result.request = request;
     remove_hop_by_hop_headers(result.request.headers);
--- a/lib/node/ingress.cpp
+++ b/lib/node/ingress.cpp
@@ -194,8 +194,10 @@
     }
     call.cancel = opened->response->disconnected();
     latency_histogram& latency = stats_.call_latency(call.service, call.priority);
-    const auto retry_after = retry_delay(latency_target_of(*in_force, call),
-                                         low_discrepancy_position(next_retry_after_++));
+    const milliseconds latency_target = latency_target_of(*in_force, call);
+    call.due = start + latency_target - time_limits_.time_spent(call);
+    const auto retry_after =
+        retry_delay(latency_target, low_discrepancy_position(next_retry_after_++));
     dispatch_routed(
         std::move(call), opened,
         [this, opened, start, &latency, retry_after, tenant_refusals](call_result result) {
--- a/lib/transport/wire_convert.cpp
+++ b/lib/transport/wire_convert.cpp
@@ -102,6 +102,9 @@
     message.set_request_id(call.request_id);
     message.set_movable(call.movable);
     message.set_tenant(call.tenant);
+    if (call.due) {
+        message.set_target_left_ms((*call.due - ms_clock::now()).count());
+    }
     message.set_key_id(call.key_id);
     message.set_document_version(call.document_version);
     message.set_repeatability(wire_repeatabilities.at(static_cast<std::size_t>(call.repeat)));
@@ -124,6 +127,9 @@
     result.request_id = call.request_id();
     result.movable = call.movable();
     result.tenant = call.tenant();
+    if (call.has_target_left_ms()) {
+        result.due = ms_clock::now() + duration_from_wire(call.target_left_ms());
+    }
     result.key_id = call.key_id();
     result.document_version = call.document_version();
     // An unknown value must not make the call repeatable.
