--- a/include/chestnutstand/node/ingress.h
+++ b/include/chestnutstand/node/ingress.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "chestnutstand/config/settings.h"
 #include "chestnutstand/admission/caller_time_limits.h"
+#include "chestnutstand/config/settings.h"
 #include "chestnutstand/node/dispatcher.h"
 #include "chestnutstand/node/key_router.h"
 #include "chestnutstand/support/metrics.h"
--- a/lib/transport/server_transport_memory.cpp
+++ b/lib/transport/server_transport_memory.cpp
@@ -92,7 +92,8 @@
     std::size_t closed = newest;
     // Ids increase, so that the connection that has been open for longest comes first.
     for (const auto& [id, client] : connections_) {
-        if (id == newest || !client.pipeline.empty() || client.writing || client.closing || client.broken) {
+        if (id == newest || !client.pipeline.empty() || client.writing || client.closing ||
+            client.broken) {
             continue;
         }
         if (client.framer.empty()) {
--- a/unittests/node/removed_key_test.cpp
+++ b/unittests/node/removed_key_test.cpp
@@ -76,7 +76,7 @@
     const int with_new_key = execute(admitted(*first_, "new-key"));
     const int of_removed_tenant = execute(admitted(*first_, "b"));
     // A caller that came back is queued although its response will be late.
-    service_call came_back = make_call();
+    service_call came_back;
     came_back.due = ms_clock::now();
     const int without_tenant = execute(std::move(came_back));
     document_ = second_;
