--- a/benchmarks/overload_benchmark.cpp
+++ b/benchmarks/overload_benchmark.cpp
@@ -91,7 +91,7 @@
         if (queue.size() >= limit_) {
             return {offer_state::refused, reason_code::queue_full};
         }
-        queue.push_back({id, now, deadline});
+        queue.push_back({id, now, deadline, deadline});
         return {offer_state::queued, reason_code::none};
     }
 
