Queue the calls with keys in the test of removed keys as those of callers that came back

A first try that would be late is refused on arrival, so that the queue of the test, whose upstream has two slots, took only one of its calls.

--- a/unittests/node/removed_key_test.cpp
+++ b/unittests/node/removed_key_test.cpp
@@ -42,6 +42,8 @@
     call.tenant = by.tenants.at(owner->tenant).name;
     call.key_id = owner->key_id;
     call.document_version = by.version;
+    // As if the caller came back: such a call is queued although its response will be late.
+    call.due = ms_clock::now();
     return call;
 }
 
