--- a/unittests/node/removed_key_test.cpp
+++ b/unittests/node/removed_key_test.cpp
@@ -42,7 +42,12 @@
     call.tenant = by.tenants.at(owner->tenant).name;
     call.key_id = owner->key_id;
     call.document_version = by.version;
-    // As if the caller came back: such a call is queued although its response will be late.
+    return call;
+}
+
+/// The call as of a caller that came back, which is queued although its response will be late.
+service_call came_back(service_call call = {})
+{
     call.due = ms_clock::now();
     return call;
 }
@@ -74,13 +79,10 @@
 TEST_F(removed_key_at_executor, queued_calls_with_removed_keys_are_refused)
 {
     fill_slots();
-    const int with_old_key = execute(admitted(*first_, "old-key"));
-    const int with_new_key = execute(admitted(*first_, "new-key"));
-    const int of_removed_tenant = execute(admitted(*first_, "b"));
-    // A caller that came back is queued although its response will be late.
-    service_call came_back;
-    came_back.due = ms_clock::now();
-    const int without_tenant = execute(std::move(came_back));
+    const int with_old_key = execute(came_back(admitted(*first_, "old-key")));
+    const int with_new_key = execute(came_back(admitted(*first_, "new-key")));
+    const int of_removed_tenant = execute(came_back(admitted(*first_, "b")));
+    const int without_tenant = execute(came_back());
     document_ = second_;
     executor_.poll(ms_clock::now());
     for (const int refused : {with_old_key, of_removed_tenant}) {
