--- a/unittests/transport/body_field_test.cpp
+++ b/unittests/transport/body_field_test.cpp
@@ -63,7 +63,7 @@
 // against reads beyond its end.
 TEST(body_field_test, any_bytes_are_read_like_one_message)
 {
-    EXPECT_TRUE(rc::check([](std::string body) {
+    EXPECT_TRUE(rc::check([](const std::string& body) {
         std::string bytes = bytes_of(make_message(body + "x"));
         const auto at = *rc::gen::inRange<std::size_t>(0, bytes.size());
         bytes.at(at) = static_cast<char>(*rc::gen::inRange(0, 256));
