--- a/review/9/case.cpp
+++ b/review/9/case.cpp
@@ -1,23 +1,23 @@
-// Clients that pipeline idempotent requests whose heads are large. The platform ends a node that
-// exceeds the memory of its machine and starts it again.
+// A node that has acknowledged that its upstream left is killed and started
+// again while the platform's store is busy, and gets a heartbeat that the
+// upstream had sent before it left.
 
-#include "../standins-2/memory_watch.h"
+#include "../standins-2/deployment.h"
 
+#include <algorithm>
 #include <atomic>
 
 using namespace review;
 
 namespace {
 
-/// With the rest of the head, less than the 16,384 bytes of the document.
-constexpr std::size_t cookie_bytes = 14'000;
-constexpr int pipelined_requests = 16;
-constexpr int clients_per_entry = 300;
-constexpr double work_s = 0.22;
-constexpr double play_s = 60.0;
-/// Ends of a machine's process, and machines with that many, from which the rule counts the day.
-constexpr int ends_that_count = 3;
-constexpr int machines_that_count = 2;
+constexpr double drain_s = 2.0;
+constexpr double restart_delay_s = 0.5;
+/// Time from the late heartbeat to the return of the store.
+constexpr double busy_after_heartbeat_s = 0.3;
+constexpr double watch_s = 10.0;
+constexpr int clients = 4;
+constexpr double deliver_limit_s = 5.0;
 
 const char* const document_head =
     R"({"version":1,"routes":[{"name":"balance","host":"balance.example",)"
@@ -26,36 +26,34 @@
     R"("health_path":"/healthz","max_connections":220},{"name":"ledger",)"
     R"("health_path":"/healthz","max_connections":220}],)";
 
-/// Sends some requests at once and reads their answers, again and again.
-void run_client(deployment& played, const machine& entry, std::atomic<bool>& stop,
-                std::atomic<int>& answered, std::atomic<int>& served)
+void run_client(deployment& played, const machine& entry, std::atomic<bool>& stop)
 {
-    const int requests_in_a_row = with_trouble() ? pipelined_requests : 1;
     while (!stop) {
-        connection used{entry.address(), played.ports().callers, 3.0};
-        bool kept = used.open();
-        while (kept && !stop) {
-            std::string bytes;
-            for (int i = 0; i < requests_in_a_row; ++i) {
-                request balance{"GET",
-                                "/balance/token",
-                                {{"Host", "balance.example"},
-                                 {"Request-Id", played.next_request_id()},
-                                 {"Deadline-Ms", "2500"}},
-                                ""};
-                balance.fields.emplace_back("Cookie", std::string(cookie_bytes, 'c'));
-                bytes += to_bytes(balance);
-            }
-            kept = used.send(bytes);
-            for (int i = 0; kept && i < requests_in_a_row; ++i) {
-                const answer received = used.read_answer();
-                kept = received.status != 0;
-                answered += kept ? 1 : 0;
-                served += received.status == 200 ? 1 : 0;
-            }
+        const request balance{"GET",
+                              "/balance/plot",
+                              {{"Host", "balance.example"},
+                               {"Request-Id", played.next_request_id()},
+                               {"Deadline-Ms", "2500"}},
+                              ""};
+        played.ask(entry, balance, 3.0);
+        sleep_s(0.02);
+    }
+}
+
+/// Delivers the heartbeat as soon as the machine takes connections again.
+bool deliver(deployment& played, const machine& left, const request& heartbeat)
+{
+    const double limit_s = played.log().now_s() + deliver_limit_s;
+    while (played.log().now_s() < limit_s) {
+        const answer received =
+            exchange(left.address(), played.ports().registration, heartbeat, 1.0);
+        if (received.status != 0) {
+            played.log().line("the late heartbeat arrives: " + std::to_string(received.status));
+            return true;
         }
-        sleep_s(0.2);
+        sleep_s(0.01);
     }
+    return false;
 }
 
 } // namespace
@@ -64,41 +62,67 @@
 {
     deployment played{argv[1]};
     for (const char* service : {"plotbook", "ledger"}) {
-        for (const char* zone : {"brazos-a", "brazos-b"}) {
-            upstream_options options{service};
-            options.slots = 12;
-            options.work_s = [](const request&) { return work_s; };
-            options.keeps_runs = false;
-            played.add(zone, options);
+        for (const char* zone : {"brazos-a", "brazos-b", "brazos-c"}) {
+            played.add(zone, {service});
         }
     }
     played.configure(std::string{document_head} + document_limits + "}");
     if (!played.start()) {
         return exit_not_run;
     }
-    memory_watch platform{played};
+    machine& left = *played.machines()[0];
     std::atomic<bool> stop = false;
-    std::atomic<int> answered = 0;
-    std::atomic<int> served = 0;
     std::vector<std::thread> threads;
-    for (int i = 0; i < 2 * clients_per_entry; ++i) {
-        const machine& entry = *played.machines()[2 + static_cast<std::size_t>(i) % 2];
-        threads.emplace_back([&] { run_client(played, entry, stop, answered, served); });
+    threads.reserve(clients);
+    for (int i = 0; i < clients; ++i) {
+        const machine& entry = *played.machines()[3 + static_cast<std::size_t>(i) % 3];
+        threads.emplace_back([&] { run_client(played, entry, stop); });
     }
-    const double end_s = played.log().now_s() + play_s;
-    while (played.log().now_s() < end_s &&
-           platform.machines_with(ends_that_count) < machines_that_count) {
-        platform.enforce("answers: " + std::to_string(answered) +
-                         ", with 200: " + std::to_string(served));
-        sleep_s(0.01);
+    sleep_s(2.0);
+    const request late = left.heartbeat();
+    if (!left.leave()) {
+        return exit_not_run;
+    }
+    const double acknowledged_s = played.log().now_s();
+    played.log().line("the node of " + left.address() +
+                      " acknowledged that its upstream leaves; a heartbeat sent "
+                      "before is late");
+    double calm_s = played.log().now_s();
+    if (with_trouble()) {
+        played.set_store_busy(true);
+        left.kill_node();
+        sleep_s(restart_delay_s);
+        left.start_node();
+        played.log().line("its node was killed and is started again");
+    }
+    const bool delivered = deliver(played, left, late);
+    if (with_trouble()) {
+        sleep_s(busy_after_heartbeat_s);
+        played.set_store_busy(false);
+        calm_s = played.log().now_s();
     }
+    sleep_s(watch_s);
     stop = true;
     for (auto& thread : threads) {
         thread.join();
     }
-    platform.summarize();
-    if (answered == 0) {
+    const double counted_from_s = std::max(acknowledged_s + drain_s, calm_s + stable_window_s);
+    int late_runs = 0;
+    for (const run& seen : played.runs()) {
+        if (seen.address == left.address() && seen.at_s > acknowledged_s + drain_s) {
+            const bool counts = seen.at_s > counted_from_s;
+            late_runs += counts ? 1 : 0;
+            played.log().line("upstream of " + seen.address + " ran " +
+                              header_of(seen.asked.fields, "Request-Id") + " at " +
+                              std::to_string(seen.at_s) + (counts ? "" : " (not counted)"));
+        }
+    }
+    played.log().line(std::to_string(late_runs) +
+                      " requests reached the upstream later than DrainS after "
+                      "the acknowledgement, "
+                      "with all machines in touch");
+    if (!delivered) {
         return exit_not_run;
     }
-    return platform.machines_with(ends_that_count) >= machines_that_count ? exit_broken : exit_held;
+    return late_runs > 0 ? exit_broken : exit_held;
 }
--- a/review/standins-2/deployment.cpp
+++ b/review/standins-2/deployment.cpp
@@ -123,8 +123,18 @@
     written_.notify_all();
 }
 
+void store::set_busy(bool busy)
+{
+    busy_ = busy;
+    // Reads that wait end as well.
+    written_.notify_all();
+}
+
 std::optional<std::string> store::handle(const request& asked)
 {
+    if (busy_) {
+        return make_answer(503, {}, "");
+    }
     const std::string topic = parameter(asked.target, "Topic");
     if (asked.target.rfind("/-/log-append", 0) == 0) {
         return append(topic, asked.body);
@@ -191,7 +201,11 @@
     const std::chrono::milliseconds wait{
         std::strtoll(parameter(target, "WaitMs").c_str(), nullptr, 10)};
     std::unique_lock lock{mutex_};
-    written_.wait_for(lock, wait, [&] { return stopping_ || topics_[topic].size() != from; });
+    written_.wait_for(lock, wait,
+                      [&] { return stopping_ || busy_ || topics_[topic].size() != from; });
+    if (busy_) {
+        return make_answer(503, {}, "");
+    }
     const auto& records = topics_[topic];
     if (from > records.size()) {
         return make_answer(410, {{"Store-Era", "1"}}, "{\"FirstOffset\":0}");
@@ -307,7 +321,8 @@
     const std::string load =
         std::to_string(running_.load()) + ",0," + std::to_string(options_.slots) + ",100";
     if (asked.target == "/healthz") {
-        return make_answer(200, {{"Instance-Id", id_}, {"Backend-Load", load}}, "");
+        return make_answer(leaving_ ? 503 : 200, {{"Instance-Id", id_}, {"Backend-Load", load}},
+                           "");
     }
     const std::string request_id = header_of(asked.fields, "Request-Id");
     if (request_id.empty()) {
@@ -322,7 +337,7 @@
     }
     ++running_;
     if (options_.keeps_runs) {
-        owner_.note_run({owner_.log_.now_s(), options_.service, asked});
+        owner_.note_run({owner_.log_.now_s(), address_, options_.service, asked});
     }
     sleep_s(options_.work_s(asked));
     --running_;
@@ -333,18 +348,34 @@
     return make_answer(200, fields, "work of " + options_.service);
 }
 
+request machine::heartbeat()
+{
+    request beat{"PUT", "/upstreams/" + id_, {{"Host", address_}}, ""};
+    beat.fields.emplace_back("Content-Type", "application/json");
+    beat.body = R"({"service":")" + options_.service + R"(","address":")" + address_ + ":" +
+                std::to_string(owner_.ports_.upstreams) + R"(","data_centre":")" + zone_ +
+                R"(","version":"v1","slots":)" + std::to_string(options_.slots) +
+                R"(,"state":"ready","cold_ms":0,"sequence":)" + std::to_string(++sequence_) +
+                R"(,"born":)" + std::to_string(born_ms_) + "}";
+    return beat;
+}
+
+bool machine::leave()
+{
+    leaving_ = true;
+    const request departure{"DELETE",
+                            "/upstreams/" + id_,
+                            {{"Host", address_}, {"Content-Type", "application/json"}},
+                            "{\"born\":" + std::to_string(born_ms_) + "}"};
+    return exchange(address_, owner_.ports_.registration, departure, 1.0).status == 200;
+}
+
 void machine::send_heartbeats()
 {
-    for (std::uint64_t sequence = 1; !stopping_; ++sequence) {
-        request beat{"PUT", "/upstreams/" + id_, {{"Host", address_}}, ""};
-        beat.fields.emplace_back("Content-Type", "application/json");
-        beat.body = R"({"service":")" + options_.service + R"(","address":")" + address_ + ":" +
-                    std::to_string(owner_.ports_.upstreams) + R"(","data_centre":")" + zone_ +
-                    R"(","version":"v1","slots":)" + std::to_string(options_.slots) +
-                    R"(,"state":"ready","cold_ms":0,"sequence":)" + std::to_string(sequence) +
-                    R"(,"born":)" + std::to_string(born_ms_) + "}";
+    while (!stopping_) {
         const bool accepted =
-            exchange(address_, owner_.ports_.registration, beat, 1.0).status == 200;
+            leaving_ ||
+            exchange(address_, owner_.ports_.registration, heartbeat(), 1.0).status == 200;
         const double pause = accepted ? heartbeat_s : 0.2;
         for (double waited = 0.0; waited < pause && !stopping_; waited += 0.1) {
             sleep_s(0.1);
@@ -402,6 +433,12 @@
     return true;
 }
 
+void deployment::set_store_busy(bool busy)
+{
+    store_.set_busy(busy);
+    log_.line(busy ? "the store is busy" : "the store is back");
+}
+
 double deployment::configure(const std::string& document)
 {
     store_.write("keyed.op", "config", document);
--- a/review/standins-2/deployment.h
+++ b/review/standins-2/deployment.h
@@ -1,6 +1,7 @@
-// Stand-ins for the platform of a small deployment: the store, the machines with their processes
-// and upstreams, and the record of what was seen. The nodes are the project's own program, started
-// with the command of the deploy file.
+// Stand-ins for the platform of a small deployment: the store, the machines
+// with their processes and upstreams, and the record of what was seen. The
+// nodes are the project's own program, started with the command of the deploy
+// file.
 #pragma once
 
 #include "http.h"
@@ -39,8 +40,8 @@
     steady::time_point start_ = steady::now();
 };
 
-/// The platform's store: keyed topics with one partition, in memory. It serves log-append,
-/// log-newest and log-read, and loses nothing.
+/// The platform's store: keyed topics with one partition, in memory. It serves
+/// log-append, log-newest and log-read, and loses nothing.
 class store {
 public:
     store();
@@ -51,6 +52,8 @@
     std::uint16_t port() const { return server_.port(); }
     /// Writes a record as the operator does. Its return is the acknowledgement.
     void write(const std::string& topic, const std::string& key, const std::string& value);
+    /// A busy store answers every call with 503 and does nothing.
+    void set_busy(bool busy);
 
 private:
     struct entry {
@@ -67,12 +70,14 @@
     std::condition_variable written_;
     std::map<std::string, std::vector<entry>> topics_;
     bool stopping_ = false;
+    std::atomic<bool> busy_ = false;
     listener server_;
 };
 
 /// A request as it arrived at an upstream that runs it.
 struct run {
     double at_s = 0.0;
+    std::string address;
     std::string service;
     request asked;
 };
@@ -88,7 +93,8 @@
     bool keeps_runs = true;
 };
 
-/// One machine: a node process and the upstream beside it, which registers with the node.
+/// One machine: a node process and the upstream beside it, which registers with
+/// the node.
 class machine {
 public:
     machine(const machine&) = delete;
@@ -107,6 +113,13 @@
     /// Resident memory of the node in MiB; 0 if it does not run.
     double node_memory_mib() const;
 
+    /// The upstream leaves without having reported that it drains: it sends no
+    /// heartbeat any more, deregisters, and goes on serving. Returns whether the
+    /// node acknowledged it.
+    bool leave();
+    /// A heartbeat that the upstream has sent and that has not arrived yet.
+    request heartbeat();
+
 private:
     friend class deployment;
     machine(class deployment& owner, std::string address, std::string zone,
@@ -125,6 +138,8 @@
     pid_t process_ = -1;
     std::unique_ptr<listener> server_;
     std::atomic<int> running_ = 0;
+    std::atomic<std::uint64_t> sequence_ = 0;
+    std::atomic<bool> leaving_ = false;
     std::atomic<bool> stopping_ = false;
     std::thread heartbeats_;
 };
@@ -148,12 +163,15 @@
 
     /// Adds a machine in the data centre; its node is started by start().
     machine& add(const std::string& zone, upstream_options options);
-    /// Starts all nodes and waits until each says that it is ready and has had time to learn of the
-    /// others. Returns false if one does not become ready.
+    /// Starts all nodes and waits until each says that it is ready and has had
+    /// time to learn of the others. Returns false if one does not become ready.
     bool start();
 
-    /// Writes the operator's document and returns the time of the acknowledgement.
+    /// Writes the operator's document and returns the time of the
+    /// acknowledgement.
     double configure(const std::string& document);
+    /// Begins or ends a time in which the platform's store is busy.
+    void set_store_busy(bool busy);
 
     record& log() { return log_; }
     const deployment_ports& ports() const { return ports_; }
