Require API keys while the document has a list of tenants, also an empty one

Cause: "the document has no list of tenants" and "its list is empty" were one state. The index of the keys, the search of a request's tenant and the removal of credentials all took an empty list for a document that asks for no keys.

Change: the index exists whenever the document has the list, and document::requires_keys() is what all three ask. The same cause on a related path: a call that an older document admitted without a key now carries that document's version, is refused by a node whose newer document needs a key for its route, and loses its credentials before the upstream. check names routes that no key can reach.

The test of a document without tenants cleared the list of one that had it; it now reads a record without the list, which is the case that it guards.

--- a/include/chestnutstand/config/document.h
+++ b/include/chestnutstand/config/document.h
@@ -133,23 +133,27 @@
     std::uint64_t version = 0;
     std::vector<service_config> services;
     std::vector<route> routes;
-    /// If there are any, requests need an API key, except on anonymous routes.
     std::vector<tenant> tenants;
     caller_limits limits;
     /// Names in the document that this version does not know, with what they are read as.
     std::vector<std::string> unknown_names;
     /// Indexes of the routes of each host, the longest path prefix first; built by index_routes().
     std::unordered_map<std::string, std::vector<std::size_t>> routes_by_host;
-    /// Index of the tenants' keys, built by index_tenants(); null while there are no tenants. Its
-    /// positions are those of tenants.
+    /// Index of the tenants' keys, built by index_tenants(). Its positions are those of tenants.
+    /// Null if the document has no list of tenants; not null if that list is empty.
     std::shared_ptr<const tenant_directory> directory;
 
     const service_config* find_service(std::string_view service) const;
 
+    /// Whether requests need the API key of a tenant, except on anonymous routes. A document that
+    /// lists no tenant any more has removed all keys; one without the list never asked for any.
+    bool requires_keys() const { return directory != nullptr; }
+
     /// Rebuilds routes_by_host; must be called after routes has changed.
     void index_routes();
 
-    /// Rebuilds directory; must be called after tenants has changed.
+    /// Rebuilds directory; must be called after tenants has changed, and only for a document that
+    /// has a list of tenants.
     void index_tenants();
 
     /// Route of the host with the longest matching path prefix; null when none matches. host is the
--- a/include/chestnutstand/transport/call.h
+++ b/include/chestnutstand/transport/call.h
@@ -90,7 +90,8 @@
     std::string tenant;
     /// Identifies that API key without containing it; 0 for a call without a tenant.
     std::uint64_t key_id = 0;
-    /// Version of the document that admitted the tenant's key; 0 for a call without a tenant.
+    /// Version of the document that admitted the call with this key, or without one; 0 if the entry
+    /// node does not state it.
     std::uint64_t document_version = 0;
     http_request request;
     /// Null when the call cannot be cancelled.
--- a/lib/config/document.cpp
+++ b/lib/config/document.cpp
@@ -77,7 +77,7 @@
     for (const tenant& account : tenants) {
         listed.push_back({account.name, account.keys});
     }
-    directory = listed.empty() ? nullptr : std::make_shared<const tenant_directory>(listed);
+    directory = std::make_shared<const tenant_directory>(listed);
 }
 
 const route* document::find_route(std::string_view host, std::string_view target) const
--- a/lib/config/document_parser.cpp
+++ b/lib/config/document_parser.cpp
@@ -150,6 +150,8 @@
     return keys;
 }
 
+constexpr const char* tenants_key = "tenants";
+
 const schema::object_schema<document>& record_keys()
 {
     static const schema::object_schema<document> keys{
@@ -157,7 +159,7 @@
         schema::required(schema::named_list("services", {0, 10'000}, record_service_keys(),
                                             &document::services)),
         schema::required(schema::list("routes", {0, 100'000}, route_keys(), &document::routes)),
-        schema::named_list("tenants", {0, 100'000}, tenant_keys(), &document::tenants),
+        schema::named_list(tenants_key, {0, 100'000}, tenant_keys(), &document::tenants),
         schema::object("limits", caller_limits_keys(), &document::limits),
     };
     return keys;
@@ -223,7 +225,8 @@
 /// Ranks by which tenants replace the rank of a route; nullopt stands for the rank of the route.
 using tenant_ranks = std::set<std::optional<std::uint32_t>>;
 
-/// Returns the distinct ranks of the tenants. Requests without a tenant keep the rank of the route.
+/// Returns the distinct ranks of the requests to a route that is not anonymous. Without tenants, it
+/// is that of the route: a service needs a class, also while no request can have a key.
 tenant_ranks ranks_of(const std::vector<tenant>& tenants)
 {
     tenant_ranks ranks;
@@ -368,7 +371,9 @@
     }
     derive_priority_classes(result);
     result.index_routes();
-    result.index_tenants();
+    if (value->contains(tenants_key)) {
+        result.index_tenants();
+    }
     return result;
 }
 
--- a/lib/config/document_review.cpp
+++ b/lib/config/document_review.cpp
@@ -143,6 +143,14 @@
         const bool all_anonymous =
             std::all_of(document_.routes.begin(), document_.routes.end(),
                         [](const route& checked) { return checked.anonymous; });
+        if (document_.requires_keys() && document_.tenants.empty()) {
+            for (const auto& checked : document_.routes) {
+                if (!checked.anonymous) {
+                    add(finding_kind::never_matches, name_of(checked),
+                        "needs an API key, but the list of tenants is empty");
+                }
+            }
+        }
         for (const auto& checked : document_.tenants) {
             if (checked.keys.empty()) {
                 add(finding_kind::never_matches, name_of(checked), "has no keys");
@@ -197,6 +205,10 @@
         if (reviewed.version != in_force.version) {
             add("document", str_cat("version ", in_force.version, " -> ", reviewed.version));
         }
+        if (reviewed.requires_keys() != in_force.requires_keys()) {
+            add("document", reviewed.requires_keys() ? "requests need an API key"
+                                                     : "requests need no API key any more");
+        }
         compare_entries(reviewed.services, in_force.services,
                         [](const service_config& entry) { return entry.name; });
         compare_entries(reviewed.routes, in_force.routes,
--- a/lib/node/call_parser.cpp
+++ b/lib/node/call_parser.cpp
@@ -159,8 +159,8 @@
     if (owner->account != nullptr) {
         result.tenant = owner->account->name;
         result.key_id = owner->key_id;
-        result.document_version = in_force->version;
     }
+    result.document_version = in_force->version;
     result.repeat = matched->idempotent() ? repeatability::repeatable : repeatability::at_most_once;
     result.retry_budget = matched->attempts - 1;
     result.deadline = now + matched->timeout;
--- a/lib/node/dispatcher.cpp
+++ b/lib/node/dispatcher.cpp
@@ -119,7 +119,7 @@
         return;
     }
     // The document may have changed since the ingress read it.
-    if (!admits_tenant(*configuration, call)) {
+    if (!admits_key(*configuration, call)) {
         refuse(reason_code::unknown_api_key, done);
         return;
     }
@@ -197,15 +197,15 @@
         });
 }
 
-/// Returns the version of the document in force if that admits the call's tenant, else nullopt. A
-/// call without a tenant needs no check and keeps its version.
+/// Returns the version of the document in force if that admits the call's key, else nullopt. A call
+/// without a key keeps its version, by which the executor sees whether it may need one now.
 std::optional<std::uint64_t> dispatcher::core::admitting_version(const service_call& call) const
 {
     if (call.tenant.empty()) {
         return call.document_version;
     }
     const std::shared_ptr<const document> in_force = configuration_.load();
-    if (!in_force || !admits_tenant(*in_force, call)) {
+    if (!in_force || !admits_key(*in_force, call)) {
         return std::nullopt;
     }
     return in_force->version;
--- a/lib/node/executor_drain.cpp
+++ b/lib/node/executor_drain.cpp
@@ -85,7 +85,7 @@
         return;
     }
     refuse_queued_if(
-        [this](const call_execution& queued) { return !admits_tenant(*applied_, queued.call); },
+        [this](const call_execution& queued) { return !admits_call(*applied_, queued.call); },
         reason_code::unknown_api_key, deferred);
 }
 
--- a/lib/node/executor_queue.cpp
+++ b/lib/node/executor_queue.cpp
@@ -1,5 +1,6 @@
 // Decides which calls enter the executor's queue, and starts or refuses those that leave it.
 
+#include "request_tenant.h"
 #include "routed_call.h"
 #include "tenant_admission.h"
 
@@ -29,7 +30,7 @@
     if (!queue_) {
         return reason_code::no_configuration;
     }
-    if (!admits_tenant(*applied_, call)) {
+    if (!admits_call(*applied_, call)) {
         return reason_code::unknown_api_key;
     }
     if (call.deadline <= now) {
@@ -125,7 +126,7 @@
     }
     queue_->finish(execution->id, {}, now);
     executions_.erase(execution->id);
-    if (!admits_tenant(*applied_, execution->call)) {
+    if (!admits_call(*applied_, execution->call)) {
         discard_attempt(*execution);
         deferred.refusals.push_back({execution->done, execution->key, reason_code::unknown_api_key,
                                      report_locked(), execution->call.request_id});
@@ -143,7 +144,7 @@
 // already completed the call, the fencing of a request id has not.
 bool executor::try_mark_started(call_execution& execution)
 {
-    if (!admits_tenant(*applied_, execution.call)) {
+    if (!admits_call(*applied_, execution.call)) {
         return false;
     }
     if (execution.key && !keys_.start(*execution.key)) {
@@ -153,6 +154,8 @@
         !attempts_.start(execution.call.request_id, !runs_at_most_once(execution.call))) {
         return false;
     }
+    // The entry node forwards credentials while its document requires no keys.
+    remove_credentials(execution.call.request.headers, *applied_);
     execution.upstream = *upstream_;
     execution.rate_limit = statement_.rate_limit();
     execution.started = true;
--- a/lib/node/request_tenant.cpp
+++ b/lib/node/request_tenant.cpp
@@ -34,12 +34,11 @@
 std::optional<request_tenant> find_request_tenant(const std::vector<http_header>& headers,
                                                   const document& in_force, const route& matched)
 {
-    if (in_force.tenants.empty() || matched.anonymous) {
+    if (!in_force.requires_keys() || matched.anonymous) {
         return request_tenant{};
     }
     const auto token = find_bearer_token(headers);
-    const auto owner =
-        token && in_force.directory ? in_force.directory->find(*token) : std::nullopt;
+    const auto owner = token ? in_force.directory->find(*token) : std::nullopt;
     if (!owner) {
         return std::nullopt;
     }
@@ -48,7 +47,7 @@
 
 void remove_credentials(std::vector<http_header>& headers, const document& in_force)
 {
-    if (in_force.tenants.empty()) {
+    if (!in_force.requires_keys()) {
         return;
     }
     std::erase_if(headers, [](const http_header& field) {
--- a/lib/node/request_tenant.h
+++ b/lib/node/request_tenant.h
@@ -12,7 +12,8 @@
 
 /// Tenant that a request belongs to.
 struct request_tenant {
-    /// Null if the request has no tenant: its route is anonymous, or the document has no tenants.
+    /// Null if the request has no tenant: its route is anonymous, or the document has no list of
+    /// tenants.
     const tenant* account = nullptr;
     /// Identifies the key of the request without containing it; 0 if the request has no tenant.
     std::uint64_t key_id = 0;
@@ -28,9 +29,9 @@
 std::optional<request_tenant> find_request_tenant(const std::vector<http_header>& headers,
                                                   const document& in_force, const route& matched);
 
-/// Removes all Authorization headers if the document has tenants, on anonymous routes as well: a
-/// key that has just been removed from the document, or that is sent without its scheme, looks like
-/// any other credentials, and no key may reach an upstream.
+/// Removes all Authorization headers if the document has a list of tenants, on anonymous routes as
+/// well: a key that has just been removed from the document, or that is sent without its scheme,
+/// looks like any other credentials, and no key may reach an upstream.
 void remove_credentials(std::vector<http_header>& headers, const document& in_force);
 
 } // namespace chestnutstand
--- a/tests/integration/tenants_test.cpp
+++ b/tests/integration/tenants_test.cpp
@@ -30,6 +30,12 @@
 
     void write_document(int version, const std::vector<std::string>& keys,
                         const std::string& kind = "idempotent")
+    {
+        write_tenants(version, nlohmann::json{{{"name", "acme"}, {"keys", keys}}}, kind);
+    }
+
+    void write_tenants(int version, const nlohmann::json& tenants,
+                       const std::string& kind = "idempotent")
     {
         const nlohmann::json document{{"version", version},
                                       {"services", {{{"name", "alpha"}}}},
@@ -42,7 +48,7 @@
                                          {"timeout_ms", 20'000},
                                          {"latency_target_ms", 10'000},
                                          {"attempts", 2}}}},
-                                      {"tenants", {{{"name", "acme"}, {"keys", keys}}}}};
+                                      {"tenants", tenants}};
         const auto result = exchange(fleet_.client(), store_port_,
                                      {"PUT", "/control/document", {}, document.dump()});
         ASSERT_EQ(result.response.status, 200);
@@ -94,6 +100,25 @@
     EXPECT_EQ(status_of(entry, new_key), 200);
 }
 
+// Guards against a version that removes the last tenant and by that lets every key pass, also to
+// the upstream.
+TEST_F(tenants, removing_the_last_tenant_removes_its_keys)
+{
+    write_document(1, {old_key});
+    const auto& serving = fleet_.add("east", "alpha");
+    const auto& entry = fleet_.add("east", "");
+    ASSERT_TRUE(eventually([&] { return status_of(entry, old_key) == 200; }));
+    write_tenants(2, nlohmann::json::array());
+    EXPECT_TRUE(eventually([&] { return status_of(entry, old_key) == 401; }));
+    EXPECT_TRUE(eventually([&] { return status_of(serving, old_key) == 401; }));
+    const auto executions = fleet_.counters(serving)["executions"];
+    for (const auto* node : {&entry, &serving}) {
+        EXPECT_EQ(status_of(*node, old_key), 401);
+        EXPECT_EQ(status_of(*node, new_key), 401);
+    }
+    EXPECT_EQ(fleet_.counters(serving)["executions"], executions);
+}
+
 // Guards against a key in a request to the upstream, a log, a metric or a response, and against an
 // upstream that gets the tenant's name from the caller.
 TEST_F(tenants, keys_stay_at_the_entry_node)
--- a/unittests/config/document_review_test.cpp
+++ b/unittests/config/document_review_test.cpp
@@ -9,13 +9,14 @@
 namespace chestnutstand {
 namespace {
 
+/// Parses a record; one without a list of tenants if their text is empty.
 document record(const std::string& version, const std::string& services, const std::string& routes,
                 const std::string& tenants)
 {
-    const auto parsed =
-        parse_record(R"({"version": )" + version + R"(, "services": [)" + services +
-                         R"(], "routes": [)" + routes + R"(], "tenants": [)" + tenants + "]}",
-                     "record");
+    const std::string list = tenants.empty() ? "" : R"(, "tenants": [)" + tenants + "]";
+    const auto parsed = parse_record(R"({"version": )" + version + R"(, "services": [)" + services +
+                                         R"(], "routes": [)" + routes + "]" + list + "}",
+                                     "record");
     EXPECT_TRUE(parsed.ok()) << parsed.status();
     return parsed.ok() ? *parsed : document{};
 }
@@ -77,6 +78,10 @@
          {"contradiction: service ledger: cold_per_s is set, but there is no health_path at which "
           "an upstream could say that it is cold"}},
         {service, view, R"({"name": "t"})", {"never_matches: tenant t: has no keys"}},
+        {service,
+         view,
+         " ",
+         {"never_matches: " + route_name + ": needs an API key, but the list of tenants is empty"}},
         {service,
          R"({"name": "view", "host": "shop.example", "service": "ledger", "anonymous": true})",
          R"({"name": "t", "keys": ["k"]})",
--- a/unittests/node/removed_key_test.cpp
+++ b/unittests/node/removed_key_test.cpp
@@ -111,6 +111,55 @@
     EXPECT_EQ(upstream_.last_id, 3U);
 }
 
+// Guards against a queued call that starts although a newer document has removed the last tenant.
+TEST_F(removed_key_at_executor, queued_calls_are_refused_when_the_last_tenant_is_removed)
+{
+    fill_slots();
+    const int queued = execute(came_back(admitted(*first_, "old-key")));
+    document_ = with_tenants(*make_document(), 2, {});
+    executor_.poll(ms_clock::now());
+    EXPECT_EQ(reason_of(queued), reason_code::unknown_api_key);
+    const int arriving = execute(admitted(*first_, "new-key"));
+    EXPECT_EQ(reason_of(arriving), reason_code::unknown_api_key);
+}
+
+/// A call that an entry node has admitted without a key under the given version.
+service_call admitted_without_key(std::uint64_t version)
+{
+    service_call call;
+    call.repeat = repeatability::at_most_once;
+    call.request = {
+        "GET", "/view/1", {{"Host", "shop.example"}, {"Authorization", "Bearer k"}}, ""};
+    call.document_version = version;
+    return call;
+}
+
+// Guards against a call that an entry node with an older document, in which its route needed no
+// key, lets pass to an upstream, and against refusing such a call where no key is needed.
+TEST_F(removed_key_at_executor, call_without_a_key_is_refused_where_a_newer_document_needs_one)
+{
+    auto changed = std::make_shared<document>(*second_);
+    route view;
+    view.host = "shop.example";
+    view.path_prefix = "/view/";
+    view.service = "ledger";
+    changed->routes = {view};
+    changed->index_routes();
+    document_ = changed;
+    EXPECT_EQ(reason_of(execute(admitted_without_key(1))), reason_code::unknown_api_key);
+    EXPECT_EQ(upstream_.last_id, 0U);
+    // An entry node whose document is newer knows better.
+    execute(admitted_without_key(3));
+    EXPECT_EQ(upstream_.last_id, 1U);
+    auto anonymous = std::make_shared<document>(*changed);
+    anonymous->version = 4;
+    anonymous->routes.front().anonymous = true;
+    document_ = anonymous;
+    execute(admitted_without_key(1));
+    ASSERT_EQ(upstream_.last_id, 2U);
+    EXPECT_FALSE(find_header(upstream_.requests.at(2).headers, "Authorization"));
+}
+
 // Guards against an entry node that cannot reach the store and keeps sending calls with a key that
 // has been removed meanwhile.
 TEST_F(removed_key_at_executor, call_of_an_entry_node_with_an_older_document_is_refused)
--- a/unittests/node/request_tenant_test.cpp
+++ b/unittests/node/request_tenant_test.cpp
@@ -24,6 +24,15 @@
     "tenants": [{"name": "acme", "keys": ["acme-old", "acme-new", "both"]},
                 {"name": "bolt", "keys": ["bolt-key", "both"]}]})";
 
+/// A record with the routes of tenant_record and the given list of tenants, or without a list if
+/// the text is empty.
+std::string record_with_tenants(const std::string& list)
+{
+    const std::string text{tenant_record};
+    const std::string before = text.substr(0, text.rfind(",\n    \"tenants\""));
+    return before + (list.empty() ? "" : ", \"tenants\": " + list) + "}";
+}
+
 document make_document(const char* record)
 {
     const auto parsed = parse_record(record, "record");
@@ -129,10 +138,9 @@
 
 // Guards against a change for deployments without tenants: their upstreams may check credentials
 // themselves.
-TEST_F(request_tenant_test, credentials_are_forwarded_where_the_document_has_no_tenants)
+TEST_F(request_tenant_test, credentials_are_forwarded_where_the_document_has_no_list_of_tenants)
 {
-    document_.tenants.clear();
-    document_.index_tenants();
+    document_ = make_document(record_with_tenants("").c_str());
     const auto call = parsed("/view/1", {{"Authorization", "Basic dXNlcg=="}, {"Tenant", "acme"}});
     EXPECT_EQ(call.tenant, "");
     const auto sent = make_upstream_request(call, names_, "");
@@ -140,6 +148,23 @@
     EXPECT_TRUE(values_of(sent, "Tenant").empty());
 }
 
+// Guards against a document that removes its last tenant, or the last key of one, and by that turns
+// the check of keys off.
+TEST_F(request_tenant_test, empty_list_of_tenants_admits_no_key)
+{
+    for (const char* tenants : {"[]", R"([{"name": "acme"}])"}) {
+        document_ = make_document(record_with_tenants(tenants).c_str());
+        for (const char* key : {"acme-old", "never-listed", ""}) {
+            EXPECT_EQ(refused("/view/1", {{"Authorization", std::string{"Bearer "} + key}}),
+                      reason_code::unknown_api_key)
+                << tenants << ' ' << key;
+        }
+        EXPECT_EQ(refused("/view/1", {}), reason_code::unknown_api_key);
+        const auto call = parsed("/status/1", {{"Authorization", "Bearer acme-old"}});
+        EXPECT_TRUE(values_of(make_upstream_request(call, names_, ""), "Authorization").empty());
+    }
+}
+
 // Guards against a key that leaves the entry node, in a message to another node or in a request to
 // an upstream, and against a tenant that a caller names itself.
 TEST_F(request_tenant_test, neither_key_nor_forged_tenant_leaves_the_entry_node)
