Ask a restarted node's upstream before its admission, also without a document

Cause: a node that has started after its upstream asks the upstream's health path before it uses it, since it may have forgotten a departure. Without a document, a service in it or a health path, verify_upstream() confirmed the upstream without a question. One late heartbeat that arrives before the document was enough.

Change: an upstream that cannot be asked is not confirmed. It is asked when a new document is in force, which costs nothing, as a node without a document runs no calls. The log says why an upstream was not asked.

--- a/include/chestnutstand/node/upstream_registry.h
+++ b/include/chestnutstand/node/upstream_registry.h
@@ -41,8 +41,8 @@
 public:
     using listener = std::function<void(const std::optional<local_upstream>&)>;
 
-    /// Checks asynchronously that an upstream is healthy and not about to leave, as far as there is
-    /// a way to ask it; calls confirm() unless the check fails.
+    /// Checks asynchronously that an upstream is healthy and not about to leave; calls confirm() if
+    /// it is. Does nothing while there is no way to ask it.
     using verifier = std::function<void(const local_upstream& upstream, std::uint64_t born_ms)>;
 
     /// The listener runs when the upstream is admitted, changes or is withdrawn.
@@ -59,9 +59,12 @@
     /// admitted at their first ready heartbeat.
     void verify_processes_born_before(std::uint64_t unix_ms, verifier verify);
 
-    /// Admits a process that passed its verification: its health path has responded with success,
-    /// or there was nothing to ask, because no document, service or health path is configured. No
-    /// effect unless it is the newest known process, has not left and is not confirmed yet.
+    /// Verifies the newest process now if it waits for its admission. Called when a new document is
+    /// in force, which may name the health path that the process is asked at.
+    void verify_waiting();
+
+    /// Admits a process whose health path has responded with success. No effect unless it is the
+    /// newest known process, has not left and is not confirmed yet.
     void confirm(const std::string& id, std::uint64_t born_ms, time_point now);
 
     /// Handles a heartbeat. A ready one admits the upstream or renews its lease, unless the process
@@ -95,11 +98,11 @@
     };
 
     bool is_outdated(const upstream_heartbeat& heartbeat) const;
-    bool has_left(const upstream_heartbeat& heartbeat) const;
+    bool has_left(const std::string& id, std::uint64_t born_ms) const;
     /// Decides whether a ready heartbeat admits its process now. For an unconfirmed process, stores
     /// the upstream and counts the heartbeat; confirms the process at the last of the required
     /// heartbeats, and starts a verification before.
-    bool check_admission(const upstream_heartbeat& heartbeat);
+    bool check_admission(const upstream_heartbeat& heartbeat, bool is_repeated);
 
     listener changed_;
     std::function<void(time_point)> renewed_ = [](time_point) {};
@@ -112,7 +115,7 @@
     std::deque<departure> departures_;
     std::uint64_t verify_before_ms_ = 0;
     verifier verify_;
-    /// Ready heartbeats that the newest process has sent while it was not confirmed.
+    /// Different ready heartbeats that the newest process has sent while it was not confirmed.
     std::uint32_t unconfirmed_heartbeats_ = 0;
     bool confirmed_ = false;
     /// Upstream in the last ready heartbeat of the newest process while it was not confirmed.
--- a/lib/node/components/executor_component.cpp
+++ b/lib/node/components/executor_component.cpp
@@ -7,6 +7,9 @@
 
 #include <memory>
 #include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
 
 namespace chestnutstand {
 namespace {
@@ -22,6 +25,8 @@
 /// Provides the executor and the lease of the local upstream.
 class executor_component final : public component {
 public:
+    std::vector<std::string_view> dependencies() const override { return {"config"}; }
+
     absl::Status start(kernel& node) override
     {
         key_table_limits limits;
@@ -54,6 +59,10 @@
             unix_now_ms(), [this, &node](const local_upstream& upstream, std::uint64_t born_ms) {
                 verify_upstream(node, upstream, born_ms);
             });
+        node.control().post([this, &node] {
+            node.get<configuration>().on_advance(
+                [this](std::uint64_t /*position*/) { registry_->verify_waiting(); });
+        });
         node.provide(*keys_);
         node.provide(*executor_);
         node.provide(*registry_);
@@ -84,8 +93,9 @@
         return names && names->contains(node.config().data_centre);
     }
 
-    /// Confirms an upstream whose health path responds with status 200. Without a document, a
-    /// service in it or a health path there, the upstream is confirmed without a request.
+    /// Confirms an upstream whose health path responds with status 200. Without a document or a
+    /// service in it, the node runs no calls, and asks when a document with the service is in
+    /// force. Without a health path, only further heartbeats show that the upstream is at work.
     void verify_upstream(kernel& node, const local_upstream& upstream, std::uint64_t born_ms)
     {
         const auto confirm = [this, &node, id = upstream.id, born_ms] {
@@ -97,7 +107,11 @@
         const auto* service =
             active_document ? active_document->find_service(upstream.service) : nullptr;
         if (service == nullptr || service->health_path.empty()) {
-            confirm();
+            log_event(log_level::info, "upstream not asked before its admission",
+                      {{"upstream", upstream.id},
+                       {"reason", std::string{active_document == nullptr ? "no document"
+                                              : service == nullptr       ? "unknown service"
+                                                                         : "no health path"}}});
             return;
         }
         node.http().send(upstream.base_url, make_probe_request(service->health_path),
--- a/lib/node/upstream_registry.cpp
+++ b/lib/node/upstream_registry.cpp
@@ -29,10 +29,10 @@
     return heartbeat.upstream.id == id_ && heartbeat.sequence < sequence_;
 }
 
-bool upstream_registry::has_left(const upstream_heartbeat& heartbeat) const
+bool upstream_registry::has_left(const std::string& id, std::uint64_t born_ms) const
 {
     return std::any_of(departures_.begin(), departures_.end(), [&](const departure& departed) {
-        return departed.id == heartbeat.upstream.id && heartbeat.born_ms <= departed.born_until_ms;
+        return departed.id == id && born_ms <= departed.born_until_ms;
     });
 }
 
@@ -42,13 +42,14 @@
     verify_ = std::move(verify);
 }
 
-bool upstream_registry::check_admission(const upstream_heartbeat& heartbeat)
+bool upstream_registry::check_admission(const upstream_heartbeat& heartbeat, bool is_repeated)
 {
     if (confirmed_ || !verify_) {
         return true;
     }
     unconfirmed_upstream_ = heartbeat.upstream;
-    if (++unconfirmed_heartbeats_ >= heartbeats_to_admit) {
+    unconfirmed_heartbeats_ += is_repeated ? 0 : 1;
+    if (unconfirmed_heartbeats_ >= heartbeats_to_admit) {
         confirmed_ = true;
         return true;
     }
@@ -56,13 +57,16 @@
     return false;
 }
 
+void upstream_registry::verify_waiting()
+{
+    if (verify_ && !confirmed_ && unconfirmed_heartbeats_ > 0 && !has_left(id_, born_ms_)) {
+        verify_(unconfirmed_upstream_, born_ms_);
+    }
+}
+
 void upstream_registry::confirm(const std::string& id, std::uint64_t born_ms, time_point now)
 {
-    const bool left =
-        std::any_of(departures_.begin(), departures_.end(), [&](const auto& departed) {
-            return departed.id == id && born_ms <= departed.born_until_ms;
-        });
-    if (id != id_ || born_ms != born_ms_ || left || confirmed_) {
+    if (id != id_ || born_ms != born_ms_ || has_left(id, born_ms) || confirmed_) {
         return;
     }
     confirmed_ = true;
@@ -81,7 +85,8 @@
                    {"known_born_ms", born_ms_}});
         return heartbeat_result::outdated;
     }
-    if (upstream.id != id_ || heartbeat.born_ms != born_ms_) {
+    const bool is_new_process = upstream.id != id_ || heartbeat.born_ms != born_ms_;
+    if (is_new_process) {
         log_event(log_level::info, "upstream process started",
                   {{"upstream", upstream.id},
                    {"service", upstream.service},
@@ -92,11 +97,13 @@
         confirmed_ = heartbeat.born_ms >= verify_before_ms_;
         unconfirmed_heartbeats_ = 0;
     }
+    const bool is_repeated =
+        !is_new_process && heartbeat.sequence != 0 && heartbeat.sequence == sequence_;
     sequence_ = heartbeat.sequence;
     if (heartbeat.state == upstream_state::draining) {
         leave(id_, born_ms_, born_ms_);
     }
-    if (!has_left(heartbeat) && check_admission(heartbeat)) {
+    if (!has_left(id_, born_ms_) && check_admission(heartbeat, is_repeated)) {
         admit(upstream, now);
     }
     return heartbeat_result::accepted;
--- a/unittests/node/upstream_registry_test.cpp
+++ b/unittests/node/upstream_registry_test.cpp
@@ -154,6 +154,36 @@
     EXPECT_TRUE(admitted_);
 }
 
+// Guards against an upstream that is never asked because its heartbeat came before the document
+// with its health path.
+TEST_F(restarted_node, verifies_a_waiting_process_when_there_is_a_new_way_to_ask_it)
+{
+    registry_.verify_waiting();
+    EXPECT_TRUE(verified_ids_.empty());
+    announce(heartbeat("a", first_born_ms, 4));
+    registry_.verify_waiting();
+    EXPECT_EQ(verified_ids_, (std::vector<std::string>{"a", "a"}));
+    registry_.confirm("a", first_born_ms, now_);
+    EXPECT_TRUE(admitted_);
+    registry_.verify_waiting();
+    EXPECT_EQ(verified_ids_.size(), 2U);
+    registry_.leave("a", first_born_ms, first_born_ms + 100);
+    announce(heartbeat("b", first_born_ms + 200, 1));
+    registry_.leave("b", first_born_ms + 200, first_born_ms + 300);
+    const auto asked = verified_ids_.size();
+    registry_.verify_waiting();
+    EXPECT_EQ(verified_ids_.size(), asked);
+}
+
+// Guards against admitting a drained upstream because one delayed heartbeat arrives several times.
+TEST_F(restarted_node, counts_a_repeated_heartbeat_once)
+{
+    for (int i = 0; i < 5; ++i) {
+        announce(heartbeat("a", first_born_ms, 4));
+    }
+    EXPECT_FALSE(admitted_);
+}
+
 // Guards against delaying a new upstream that cannot have deregistered from an earlier process of
 // the node.
 TEST_F(restarted_node, admits_a_newer_process_immediately)
