Answer the requests in progress of connections that have to free memory

Cause: a connection that holds 4 KiB and has moved less than 16 KiB in a second counted as one without progress and was ended first. A client that waits for its response cannot move anything. Ending it closed the connection and cancelled the call.

Change: a connection states whether it receives a request, waits for a response or sends one. A waiting client is not stalled. choose_holder() takes large input before small, and no small input for a large request. Input that has to go behind a request in progress is dropped; the request is answered, and the last response closes the connection, so that the client sends again what it had sent behind it. A small announced request counts what would give way to it.

--- a/include/chestnutstand/transport/memory_budget.h
+++ b/include/chestnutstand/transport/memory_budget.h
@@ -61,6 +61,8 @@
 /// What a holder does with the memory that it holds.
 enum class memory_use : std::uint8_t {
     receiving, ///< A request is being received. It has not run and can be refused.
+    waiting,   ///< The client waits for a response; what it has sent behind the request can be
+               ///< dropped.
     sending,   ///< A response is being sent.
 };
 
@@ -74,12 +76,19 @@
     std::size_t moved = 0;
 };
 
-/// Selects the holder that is ended first when memory is needed: the one that has held the most
-/// memory for the longest time without progress; if all make progress, the request of which the
-/// least has arrived. Responses that make progress are not ended: their calls have run. Returns
-/// nothing if no holder can be ended.
-std::optional<std::size_t> choose_least_progress(const std::vector<holder_progress>& holders,
-                                                 time_point now);
+/// Size of the request that needs memory.
+enum class request_size : std::uint8_t { small, large };
+
+/// Selects the holder that gives its memory back when a request needs it:
+/// 1. the one that has held the most memory for the longest time without progress. A client that
+///    waits for its response is not expected to make progress;
+/// 2. the large input, of a request that has not run, of which the least has arrived;
+/// 3. for a small request, the small input of which the least has arrived, of clients that wait for
+///    no response before the others.
+/// Responses that make progress are not ended: their calls have run. Returns nothing if no holder
+/// can give way.
+std::optional<std::size_t> choose_holder(const std::vector<holder_progress>& holders,
+                                         request_size needed_for, time_point now);
 
 /// Bytes that the process may hold for bodies and unfinished messages, on both hops and in both
 /// directions. Does no I/O. Thread-safe.
@@ -95,7 +104,7 @@
     explicit memory_budget(memory_budget_limits limits) : limits_{limits} {}
 
     /// Whether a body of the announced size can be expected to find memory: what is free, or held
-    /// by requests and responses without progress, suffices.
+    /// by those that give way to a new request, suffices.
     bool admits(std::size_t announced, time_point now);
 
     /// The largest body that the budget can ever hold.
@@ -114,7 +123,8 @@
     bool grow(std::size_t more, std::size_t total, memory_holder* requester, time_point now,
               evictions& ended);
     void release(std::size_t bytes);
-    std::size_t evictable_bytes(time_point now) const;
+    /// Bytes that would be free if all holders that give way to a new request of this size did.
+    std::size_t evictable_bytes(request_size needed_for, time_point now) const;
 
     const memory_budget_limits limits_;
     mutable std::mutex mutex_;
@@ -143,8 +153,12 @@
     /// memory is not available, or is needed by others; the request must then be refused.
     bool resize(std::size_t bytes, time_point now);
 
-    /// Whether the budget has ended this holder and it still holds memory.
-    bool told_to_end() const;
+    /// What the holder did when the budget told it to give its memory back; nullopt if it has done
+    /// so, or has not been told.
+    std::optional<memory_use> told_to_end() const;
+
+    /// Records whether the client waits for the response to a request that has been passed on.
+    void set_waiting(bool waiting, time_point now);
 
     /// Moves a part of the bytes to a lease, which this holder is then no longer ended for.
     memory_lease take(std::size_t bytes);
@@ -160,6 +174,8 @@
 
     /// Called under the lock of the budget.
     holder_progress progress() const;
+    /// Ends the state in which the holder was told to end, under the lock of the budget.
+    void clear_end();
 
     /// Registers or removes this holder, under the lock of the budget.
     void update_registration(time_point now);
@@ -172,7 +188,8 @@
     bool registered_ = false;
     /// What was added to ending_ when this holder was told to end.
     std::size_t counted_as_ending_ = 0;
-    bool told_to_end_ = false;
+    std::optional<memory_use> told_to_end_;
+    bool waiting_ = false;
     time_point last_step_{};
     std::size_t moved_ = 0;
     std::size_t moved_in_step_ = 0;
--- a/lib/transport/memory_budget.cpp
+++ b/lib/transport/memory_budget.cpp
@@ -28,7 +28,48 @@
 
 bool is_stalled(const holder_progress& holder, time_point now)
 {
-    return now - holder.last_step >= stall_time;
+    return holder.use != memory_use::waiting && now - holder.last_step >= stall_time;
+}
+
+request_size size_of(std::size_t bytes)
+{
+    return bytes > small_bytes ? request_size::large : request_size::small;
+}
+
+bool is_large_input(const holder_progress& holder)
+{
+    return holder.use != memory_use::sending && size_of(holder.bytes) == request_size::large;
+}
+
+/// Selects the holder that has held the most memory for the longest time without progress.
+std::optional<std::size_t> choose_stalled(const std::vector<holder_progress>& holders,
+                                          time_point now)
+{
+    std::optional<std::size_t> chosen;
+    double most_idle_memory = 0.0;
+    for (std::size_t i = 0; i < holders.size(); ++i) {
+        const double idle_memory =
+            static_cast<double>(holders[i].bytes) * (now - holders[i].last_step).count();
+        if (is_stalled(holders[i], now) && (!chosen || idle_memory > most_idle_memory)) {
+            chosen = i;
+            most_idle_memory = idle_memory;
+        }
+    }
+    return chosen;
+}
+
+/// Selects the holder for which the predicate is true and of whose request the least has arrived.
+template <typename Predicate>
+std::optional<std::size_t> choose_least_moved(const std::vector<holder_progress>& holders,
+                                              Predicate may_give_way)
+{
+    std::optional<std::size_t> chosen;
+    for (std::size_t i = 0; i < holders.size(); ++i) {
+        if (may_give_way(holders[i]) && (!chosen || holders[i].moved < holders[*chosen].moved)) {
+            chosen = i;
+        }
+    }
+    return chosen;
 }
 
 } // namespace
@@ -42,28 +83,21 @@
     return {max_bytes, max_bytes / small_reserve_divisor};
 }
 
-std::optional<std::size_t> choose_least_progress(const std::vector<holder_progress>& holders,
-                                                 time_point now)
+std::optional<std::size_t> choose_holder(const std::vector<holder_progress>& holders,
+                                         request_size needed_for, time_point now)
 {
-    std::optional<std::size_t> stalled;
-    double most_idle_memory = 0.0;
-    std::optional<std::size_t> receiving;
-    for (std::size_t i = 0; i < holders.size(); ++i) {
-        const holder_progress& holder = holders[i];
-        if (is_stalled(holder, now)) {
-            const double idle_memory =
-                static_cast<double>(holder.bytes) * (now - holder.last_step).count();
-            if (!stalled || idle_memory > most_idle_memory) {
-                stalled = i;
-                most_idle_memory = idle_memory;
-            }
-        }
-        else if (holder.use == memory_use::receiving &&
-                 (!receiving || holder.moved < holders[*receiving].moved)) {
-            receiving = i;
-        }
+    if (const auto stalled = choose_stalled(holders, now)) {
+        return stalled;
+    }
+    const auto large = choose_least_moved(holders, is_large_input);
+    if (large || needed_for == request_size::large) {
+        return large;
     }
-    return stalled ? stalled : receiving;
+    const auto receiving = choose_least_moved(
+        holders, [](const holder_progress& holder) { return holder.use == memory_use::receiving; });
+    return receiving ? receiving : choose_least_moved(holders, [](const holder_progress& holder) {
+        return holder.use == memory_use::waiting;
+    });
 }
 
 memory_lease::~memory_lease()
@@ -96,8 +130,9 @@
 bool memory_budget::admits(std::size_t announced, time_point now)
 {
     const std::lock_guard lock{mutex_};
-    const std::size_t max = announced > small_bytes ? largest_body() : limits_.max_bytes;
-    const std::size_t kept = held_ - std::min(held_, ending_ + evictable_bytes(now));
+    const request_size size = size_of(announced);
+    const std::size_t max = size == request_size::large ? largest_body() : limits_.max_bytes;
+    const std::size_t kept = held_ - std::min(held_, ending_ + evictable_bytes(size, now));
     if (kept + announced <= max) {
         return true;
     }
@@ -111,12 +146,14 @@
     return {held_, limits_.max_bytes, holders_ended_, refusals_};
 }
 
-std::size_t memory_budget::evictable_bytes(time_point now) const
+std::size_t memory_budget::evictable_bytes(request_size needed_for, time_point now) const
 {
     std::size_t bytes = 0;
     for (const memory_holder* holder : holders_) {
-        const bool stalled = now - holder->last_step_ >= stall_time;
-        bytes += stalled && !holder->told_to_end_ ? holder->input_ + holder->output_ : 0;
+        const holder_progress state = holder->progress();
+        const bool gives_way =
+            is_stalled(state, now) || (needed_for == request_size::small && is_large_input(state));
+        bytes += gives_way && !holder->told_to_end_ ? state.bytes : 0;
     }
     return bytes;
 }
@@ -128,7 +165,8 @@
     if (requester != nullptr && requester->told_to_end_) {
         return false;
     }
-    const bool is_small = total <= small_bytes;
+    const request_size size = size_of(total);
+    const bool is_small = size == request_size::small;
     const std::size_t max = is_small ? limits_.max_bytes : largest_body();
     const std::size_t overshoot = limits_.max_bytes / overshoot_divisor;
     while (held_ - std::min(held_, ending_) + more > max) {
@@ -146,14 +184,16 @@
             states.push_back(requester->registered_
                                  ? requester->progress()
                                  : holder_progress{total, memory_use::receiving, now, total});
+            // What it would hold decides whether its input is large.
+            states.back().bytes = total;
         }
-        const auto chosen = choose_least_progress(states, now);
+        const auto chosen = choose_holder(states, size, now);
         if (!chosen || candidates[*chosen] == requester) {
             ++refusals_;
             return false;
         }
         memory_holder& victim = *candidates[*chosen];
-        victim.told_to_end_ = true;
+        victim.told_to_end_ = states[*chosen].use;
         victim.counted_as_ending_ = victim.input_ + victim.output_;
         ending_ += victim.counted_as_ending_;
         ++holders_ended_;
@@ -186,14 +226,22 @@
 
 holder_progress memory_holder::progress() const
 {
-    return {input_ + output_, output_ > 0 ? memory_use::sending : memory_use::receiving, last_step_,
-            moved_};
+    const memory_use use = output_ > 0 ? memory_use::sending
+                           : waiting_  ? memory_use::waiting
+                                       : memory_use::receiving;
+    return {input_ + output_, use, last_step_, moved_};
 }
 
-bool memory_holder::told_to_end() const
+void memory_holder::clear_end()
+{
+    budget_->ending_ -= std::exchange(counted_as_ending_, 0);
+    told_to_end_.reset();
+}
+
+std::optional<memory_use> memory_holder::told_to_end() const
 {
     if (!budget_) {
-        return false;
+        return std::nullopt;
     }
     const std::lock_guard lock{budget_->mutex_};
     return told_to_end_;
@@ -220,10 +268,29 @@
         budget_->held_ -= input_ - bytes;
     }
     input_ = bytes;
+    if (input_ == 0 && told_to_end_ && *told_to_end_ != memory_use::sending) {
+        // A response that the holder has begun to send since then is not what it was told to end.
+        clear_end();
+    }
     update_registration(now);
     return true;
 }
 
+void memory_holder::set_waiting(bool waiting, time_point now)
+{
+    // Only the owner of the holder writes the member, so that it may read it without the lock.
+    if (!budget_ || waiting_ == waiting) {
+        return;
+    }
+    const std::lock_guard lock{budget_->mutex_};
+    waiting_ = waiting;
+    if (!waiting) {
+        // The client could not make progress while it waited.
+        last_step_ = now;
+        moved_in_step_ = 0;
+    }
+}
+
 memory_lease memory_holder::take(std::size_t bytes)
 {
     if (!budget_ || bytes == 0) {
@@ -265,8 +332,7 @@
     // Most requests are small and never enter the list.
     const bool holds = input_ + output_ >= min_ended_bytes;
     if (!holds) {
-        budget_->ending_ -= std::exchange(counted_as_ending_, 0);
-        told_to_end_ = false;
+        clear_end();
     }
     if (holds == registered_) {
         return;
--- a/lib/transport/server_transport.cpp
+++ b/lib/transport/server_transport.cpp
@@ -285,6 +285,7 @@
 void server_transport::update_busy(connection& client)
 {
     const bool busy = !client.pipeline.empty() || client.writing;
+    client.memory.set_waiting(!client.pipeline.empty() && !client.writing, ms_clock::now());
     if (busy == client.counted_busy) {
         return;
     }
--- a/lib/transport/server_transport.h
+++ b/lib/transport/server_transport.h
@@ -159,9 +159,11 @@
     bool acquire_input(connection& client, std::size_t bytes);
     /// Refuses a request whose announced body will not find memory. Returns whether it did.
     bool refuse_announced(connection& client);
-    /// Ends the connections that the memory budget has selected.
+    /// Frees the memory of the connections that the memory budget has selected.
     void end_for_memory();
+    void close_unread_response(connection& client);
     void refuse_for_memory(connection& client);
+    void log_ended_for_memory(const connection& client);
     /// Closes an idle connection, or else the new one, when there are too many.
     void limit_connections(std::size_t newest);
     void check_deadlines();
--- a/lib/transport/server_transport_memory.cpp
+++ b/lib/transport/server_transport_memory.cpp
@@ -48,33 +48,53 @@
 {
     for (const std::size_t id : queue_->take_ended()) {
         const auto found = connections_.find(id);
-        if (found == connections_.end() || !found->second.memory.told_to_end()) {
+        const auto use =
+            found != connections_.end() ? found->second.memory.told_to_end() : std::nullopt;
+        if (!use) {
             continue;
         }
-        if (!found->second.closing && !found->second.broken) {
-            refuse_for_memory(found->second);
+        connection& client = found->second;
+        if (*use == memory_use::sending) {
+            close_unread_response(client);
         }
-        else if (found->second.writing) {
-            found->second.broken = true;
-            pending_close_.push_back(id);
+        else if (!client.closing && !client.broken) {
+            refuse_for_memory(client);
         }
     }
 }
 
-// A request that is being received has not run and is refused. While a request runs or its response
-// is being sent, a refusal would be read as its answer, so that the connection is closed.
-void server_transport::refuse_for_memory(connection& client)
+// The client does not read the response, whose call has run.
+void server_transport::close_unread_response(connection& client)
+{
+    if (!client.writing || client.broken) {
+        return;
+    }
+    log_ended_for_memory(client);
+    client.broken = true;
+    client.framer.discard();
+    client.memory.resize(0, ms_clock::now());
+    pending_close_.push_back(client.peer->getID());
+}
+
+void server_transport::log_ended_for_memory(const connection& client)
 {
     ++shared_->closed_for_memory;
     log_event(log_level::warning, "connection ended to free memory",
               {{"held_bytes", std::uint64_t{client.framer.held_bytes()}},
                {"unsent_bytes", std::uint64_t{client.output.body.size()}},
+               {"in_progress", std::uint64_t{client.pipeline.size()}},
                {"address", client.peer->address().host()}});
+}
+
+// A request that is being received has not run and is refused. Behind requests in progress, a
+// refusal would be read as the answer to the first of them. They get their responses, the last of
+// which closes the connection: the client sends again what it has sent behind them.
+void server_transport::refuse_for_memory(connection& client)
+{
+    log_ended_for_memory(client);
     if (!client.pipeline.empty() || client.writing) {
-        client.broken = true;
-        client.framer.discard();
+        stop_accepting(client);
         client.memory.resize(0, ms_clock::now());
-        pending_close_.push_back(client.peer->getID());
         return;
     }
     request_refusal refused = client.framer.refuse_incomplete(
--- a/unittests/transport/memory_budget_test.cpp
+++ b/unittests/transport/memory_budget_test.cpp
@@ -78,6 +78,17 @@
     EXPECT_FALSE(first.ended);
 }
 
+// Guards against the same by a request that was small until now.
+TEST_F(memory_budget_test, refuses_a_request_that_becomes_large_while_all_make_progress)
+{
+    auto& first = open();
+    auto& second = open();
+    ASSERT_TRUE(first.receive(30 * mib, now_));
+    ASSERT_TRUE(second.receive(60 * kib, now_));
+    EXPECT_FALSE(second.receive(10 * kib, now_));
+    EXPECT_FALSE(first.ended);
+}
+
 // Guards against large requests that leave no memory for small ones.
 TEST_F(memory_budget_test, keeps_a_reserve_for_small_requests)
 {
@@ -131,6 +142,111 @@
     EXPECT_TRUE(reader.ended);
 }
 
+// Guards against ending a client that waits for its response, which cannot make progress, and
+// against a client that counts as stalled as soon as its wait is over.
+TEST_F(memory_budget_test, client_that_waits_for_its_response_is_not_stalled)
+{
+    auto& waiting = open();
+    auto& first = open();
+    ASSERT_TRUE(waiting.receive(8 * kib, now_));
+    waiting.holder.set_waiting(true, now_);
+    ASSERT_TRUE(first.receive(20 * mib, now_));
+    now_ += long_stall;
+    first.holder.note_progress(mib, now_);
+    auto& second = open();
+    ASSERT_TRUE(second.receive(9 * mib, now_));
+    EXPECT_FALSE(second.receive(4 * mib, now_));
+    EXPECT_FALSE(waiting.ended);
+    EXPECT_FALSE(first.ended);
+    EXPECT_FALSE(budget_->admits(11 * mib, now_));
+    waiting.holder.set_waiting(false, now_);
+    EXPECT_FALSE(second.receive(4 * mib, now_));
+    EXPECT_FALSE(waiting.ended);
+}
+
+// Guards against large input behind a request in progress that keeps small requests out.
+TEST_F(memory_budget_test, large_input_of_a_waiting_client_gives_way)
+{
+    auto& waiting = open();
+    ASSERT_TRUE(waiting.receive(29 * mib, now_));
+    waiting.holder.set_waiting(true, now_);
+    std::vector<test_connection*> small;
+    for (int i = 0; i < 100; ++i) {
+        small.push_back(&open());
+        ASSERT_TRUE(small.back()->receive(60 * kib, now_)) << i;
+    }
+    EXPECT_TRUE(waiting.ended);
+    EXPECT_EQ(waiting.holder.told_to_end(), memory_use::waiting);
+    for (const auto* connection : small) {
+        EXPECT_FALSE(connection->ended);
+    }
+    // The response that the client waited for is not what has to go.
+    waiting.holder.set_output(20 * mib, now_);
+    ASSERT_TRUE(waiting.holder.resize(0, now_));
+    EXPECT_EQ(waiting.holder.told_to_end(), std::nullopt);
+}
+
+struct random_holders {
+    std::vector<holder_progress> holders;
+    request_size needed_for = request_size::small;
+    time_point now{milliseconds{1'000'000}};
+};
+
+random_holders arbitrary_holders()
+{
+    random_holders made;
+    const auto count = *rc::gen::inRange<std::size_t>(0, 12);
+    for (std::size_t i = 0; i < count; ++i) {
+        const auto bytes = *rc::gen::inRange<std::size_t>(4 * kib, 300 * kib);
+        const auto use =
+            *rc::gen::element(memory_use::receiving, memory_use::waiting, memory_use::sending);
+        const double idle_ms = *rc::gen::inRange(0, 3'000);
+        made.holders.push_back({bytes, use, made.now - milliseconds{idle_ms},
+                                *rc::gen::inRange<std::size_t>(0, bytes)});
+    }
+    made.needed_for = *rc::gen::element(request_size::small, request_size::large);
+    return made;
+}
+
+// Guards against giving up a response or a client that waits while another holder could give way,
+// against small requests that go for a large one, and against none that gives way.
+TEST(memory_budget_properties, holders_give_way_in_the_stated_order)
+{
+    EXPECT_TRUE(rc::check([] {
+        const random_holders drawn = arbitrary_holders();
+        const auto& holders = drawn.holders;
+        const auto exists = [&](auto predicate) {
+            return std::any_of(holders.begin(), holders.end(), predicate);
+        };
+        const auto is_stalled = [&](const holder_progress& each) {
+            return each.use != memory_use::waiting &&
+                   drawn.now - each.last_step >= milliseconds{1'000};
+        };
+        const auto is_large = [](const holder_progress& each) { return each.bytes > 64 * kib; };
+        const auto can_give_way = [&](const holder_progress& each) {
+            return is_stalled(each) ||
+                   (each.use != memory_use::sending &&
+                    (drawn.needed_for == request_size::small || is_large(each)));
+        };
+        const auto chosen = choose_holder(holders, drawn.needed_for, drawn.now);
+        RC_ASSERT(chosen.has_value() == exists(can_give_way));
+        if (!chosen) {
+            return;
+        }
+        const holder_progress& gives_way = holders.at(*chosen);
+        RC_ASSERT(can_give_way(gives_way));
+        RC_ASSERT(is_stalled(gives_way) || !exists(is_stalled));
+        RC_ASSERT(is_stalled(gives_way) || is_large(gives_way) ||
+                  !exists([&](const holder_progress& each) {
+                      return each.use != memory_use::sending && is_large(each);
+                  }));
+        const bool is_small_waiting = gives_way.use == memory_use::waiting && !is_large(gives_way);
+        RC_ASSERT(!is_small_waiting || !exists([](const holder_progress& each) {
+            return each.use == memory_use::receiving;
+        }));
+    }));
+}
+
 // Guards against a sum that differs from what the connections hold, and against more held memory
 // than the limit and the overshoot allow, for any order of requests, ends and pauses.
 TEST(memory_budget_properties, held_bytes_stay_within_the_limit)
