Log sizes and times of a document on its way through the fleet

"document in force" has the size of the record and the time to parse it, "document fetched from a peer" the time of the fetch, and a node logs when it becomes or ceases to be a reader.

--- a/include/chestnutstand/config/configuration.h
+++ b/include/chestnutstand/config/configuration.h
@@ -3,6 +3,7 @@
 #include "chestnutstand/config/document.h"
 #include "chestnutstand/config/evacuation_follower.h"
 #include "chestnutstand/support/clock.h"
+#include "chestnutstand/support/name_table.h"
 #include "chestnutstand/support/snapshot.h"
 #include "chestnutstand/transport/peer_client.h"
 
@@ -21,6 +22,8 @@
              ///< take to come into force.
 };
 
+inline constexpr name_table<reader_role, 3> reader_role_names{{"none", "standby", "lead"}};
+
 /// Tells a source without changes from one whose responses are lost.
 struct source_progress {
     /// Last response of the source; nullopt before the first one.
--- a/include/chestnutstand/config/record_follower.h
+++ b/include/chestnutstand/config/record_follower.h
@@ -97,7 +97,9 @@
     void apply_fetched(const fetched_changes& changes);
     /// Starts over with the newest records if the offset of the next read is of an older era.
     void on_rollback(std::uint64_t era);
-    void finish_fetch(const node_reference& peer, const absl::StatusOr<fetched_changes>& changes);
+    /// The time is the one from the request to the end of its response.
+    void finish_fetch(const node_reference& peer, milliseconds took,
+                      const absl::StatusOr<fetched_changes>& changes);
 
     struct peer_hint {
         node_reference peer;
--- a/lib/config/record_follower.cpp
+++ b/lib/config/record_follower.cpp
@@ -47,6 +47,10 @@
 void record_follower::set_reader_role(reader_role role)
 {
     const reader_role previous = std::exchange(role_, role);
+    if (previous != role) {
+        log_event(log_level::info, "document reader role changed",
+                  {{"role", std::string{reader_role_names.name(role)}}, {"version", version_}});
+    }
     if (!is_reader()) {
         return;
     }
@@ -252,6 +256,7 @@
 /// Returns whether the record brought a new document into force.
 bool record_follower::apply(const std::string& text, const char* source)
 {
+    const time_point started = ms_clock::now();
     auto parsed = parse_record(text, "document");
     if (!parsed.ok()) {
         log_event(log_level::warning, "document refused",
@@ -272,7 +277,9 @@
     log_event(log_level::info, "document in force",
               {{"source", std::string{source}},
                {"version", version_},
-               {"routes", static_cast<std::uint64_t>(routes)}});
+               {"routes", static_cast<std::uint64_t>(routes)},
+               {"bytes", static_cast<std::uint64_t>(text.size())},
+               {"parse_ms", (ms_clock::now() - started).count()}});
     for (const auto& listener : listeners_) {
         listener(version_);
     }
@@ -305,18 +312,23 @@
     hints_.pop_back();
     peers_.fetch_changes(
         peer, version_, options_.fetch_timeout,
-        [this, peer](absl::StatusOr<fetched_changes> changes) {
-            loop_.post([this, peer, changes = std::move(changes)] { finish_fetch(peer, changes); });
+        [this, peer, started = ms_clock::now()](absl::StatusOr<fetched_changes> changes) {
+            const milliseconds took = ms_clock::now() - started;
+            loop_.post([this, peer, took, changes = std::move(changes)] {
+                finish_fetch(peer, took, changes);
+            });
         });
 }
 
-void record_follower::finish_fetch(const node_reference& peer,
+void record_follower::finish_fetch(const node_reference& peer, milliseconds took,
                                    const absl::StatusOr<fetched_changes>& changes)
 {
     fetching_ = false;
     if (!changes.ok()) {
         log_event(log_level::warning, "document not fetched from a peer",
-                  {{"peer", peer.address}, {"reason", changes.status().ToString()}});
+                  {{"peer", peer.address},
+                   {"took_ms", took.count()},
+                   {"reason", changes.status().ToString()}});
         peer_fetch_failed_ = true;
         expect_response();
         read();
@@ -325,6 +337,8 @@
         const std::uint64_t before = version_;
         apply_fetched(*changes);
         if (version_ > before) {
+            log_event(log_level::info, "document fetched from a peer",
+                      {{"peer", peer.address}, {"took_ms", took.count()}, {"version", version_}});
             expect_response();
         }
     }
