Ask other nodes to read the document store when it turns the readers away

Cause: the nodes that read the store are the three lowest instances of each data centre, whether the store serves them or not. When it turns away all of them, nobody asks, although it serves other nodes. A lead whose reads fail, or whose response is overdue, now asks other nodes to read the store, three at a time, until one is served; that one is its deputy. Rounds become rarer, so that a store that is down gets a bounded number of calls.

--- a/benchmarks/carrier_benchmark.cpp
+++ b/benchmarks/carrier_benchmark.cpp
@@ -46,7 +46,7 @@
         return settle_result{};
     }
     load_report probe() override { return {}; }
-    void fetch_changes(std::uint64_t, peer_client::changes_done done) override
+    void fetch_changes(const fetch_request& /*request*/, peer_client::changes_done done) override
     {
         done(fetched_changes{});
     }
--- a/include/chestnutstand/config/configuration.h
+++ b/include/chestnutstand/config/configuration.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "chestnutstand/config/deputy_search.h"
 #include "chestnutstand/config/document.h"
 #include "chestnutstand/config/evacuation_follower.h"
 #include "chestnutstand/support/clock.h"
@@ -10,6 +11,7 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <vector>
 
 namespace chestnutstand {
 
@@ -71,6 +73,17 @@
 
     /// Response to a peer that has advanced to a position: the changes after it.
     virtual fetched_changes handle_fetch(std::uint64_t position) const = 0;
+
+    /// Response to a peer that cannot reach the source, after a read of the source. A source that
+    /// does not read for peers responds with what the node has.
+    virtual void handle_source_fetch(const fetch_request& request,
+                                     const peer_client::changes_done& done)
+    {
+        done(handle_fetch(request.from_offset));
+    }
+
+    /// Sets the function that lists the nodes that may be asked to read the source.
+    virtual void set_deputy_candidates(std::function<std::vector<deputy_candidate>()> /*list*/) {}
 };
 
 } // namespace chestnutstand
--- a/include/chestnutstand/config/record_follower.h
+++ b/include/chestnutstand/config/record_follower.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "chestnutstand/config/configuration.h"
+#include "chestnutstand/config/deputy_search.h"
 #include "chestnutstand/config/keyed_store.h"
 #include "chestnutstand/support/control_loop.h"
 #include "chestnutstand/support/metrics.h"
@@ -31,6 +32,14 @@
     milliseconds lost_read_grace{1'000};
     /// Time limit of one fetch from a peer.
     milliseconds fetch_timeout{500};
+    /// Time after the end of the waiting time of a poll, or after the start of another read, in
+    /// which a lead expects the response before it asks other nodes to read the store.
+    milliseconds overdue_after{250};
+    /// Time for which a node reads the store after it has been asked to.
+    milliseconds deputy_lease{3'000};
+    /// Waiting time of a long poll while a peer waits for its end.
+    milliseconds deputy_read_wait{100};
+    deputy_search_options deputies;
     /// Shortest time between two fetches of the evacuations. Two nodes may differ for seconds after
     /// a rollback of the store.
     milliseconds evacuation_fetch_interval{200};
@@ -59,6 +68,9 @@
 /// The response to a long poll can be lost on a connection that stays open, to all readers at once.
 /// The lead therefore uses short polls. A standby replaces its poll when a peer has a document that
 /// the poll should have returned.
+///
+/// The store may turn away some nodes and serve others. A lead whose reads fail asks other nodes to
+/// read the store; one that has succeeded is its deputy and reads like a lead while it is asked.
 class record_follower final : public configuration {
 public:
     record_follower(record_follower_options options, control_loop& loop, keyed_store& store,
@@ -75,9 +87,25 @@
     evacuation_follower* evacuations() override { return &evacuations_; }
     void hint_evacuations(const node_reference& peer, std::uint64_t digest) override;
     fetched_changes handle_fetch(std::uint64_t position) const override;
+    void handle_source_fetch(const fetch_request& request,
+                             const peer_client::changes_done& done) override;
+    void set_deputy_candidates(std::function<std::vector<deputy_candidate>()> list) override;
 
 private:
-    bool is_reader() const { return role_ != reader_role::none; }
+    bool is_deputy() const { return deputy_until_ && ms_clock::now() < *deputy_until_; }
+    bool is_reader() const { return role_ != reader_role::none || is_deputy(); }
+    /// Whether the node polls like a standby.
+    bool is_standby() const { return role_ == reader_role::standby && !is_deputy(); }
+    milliseconds poll_wait() const;
+    void expect_lead_response();
+    /// Asks other nodes to read the store until a read of this node succeeds.
+    void search_deputy();
+    void ask_deputies(std::uint64_t search);
+    void finish_source_fetch(const node_reference& peer,
+                             const absl::StatusOr<fetched_changes>& changes);
+    /// Responds to the peers that wait for a read of this node.
+    void answer_waiting_peers(const absl::Status& status);
+    fetched_changes source_changes(std::uint64_t position) const;
     void read();
     void finish_read(std::uint64_t number, const absl::StatusOr<keyed_page>& page);
     void handle_failed_read(const absl::Status& status);
@@ -124,6 +152,9 @@
     /// The last read failed because the store no longer had the records.
     bool records_expired_ = false;
     source_progress progress_;
+    /// The offset and the era after the last read that succeeded.
+    std::uint64_t known_offset_ = 0;
+    std::uint64_t known_era_ = 0;
     /// Offset of the next long poll; nothing when the newest record has to be read first.
     std::optional<std::uint64_t> next_offset_;
     /// Era of the store to which that offset belongs.
@@ -136,6 +167,17 @@
     /// Fetching a newer document from a peer failed; the store is read instead, until
     /// that succeeds.
     bool peer_fetch_failed_ = false;
+    deputy_search deputies_;
+    /// Identifies the search that is active; the rounds of those before it have ended.
+    std::uint64_t search_number_ = 0;
+    std::function<std::vector<deputy_candidate>()> list_deputy_candidates_;
+    /// End of the time for which this node reads the store for others.
+    std::optional<time_point> deputy_until_;
+    struct waiting_peer {
+        std::uint64_t position = 0;
+        peer_client::changes_done done;
+    };
+    std::vector<waiting_peer> waiting_peers_;
     evacuation_follower evacuations_;
     std::optional<time_point> evacuations_fetched_at_;
 };
--- a/include/chestnutstand/transport/node_server.h
+++ b/include/chestnutstand/transport/node_server.h
@@ -30,7 +30,7 @@
     virtual absl::StatusOr<settle_result> settle(std::uint64_t target_instance,
                                                  const std::string& key) = 0;
     virtual load_report probe() = 0;
-    virtual void fetch_changes(std::uint64_t from_offset, peer_client::changes_done done) = 0;
+    virtual void fetch_changes(const fetch_request& request, peer_client::changes_done done) = 0;
     virtual void sync_members(std::vector<std::string> members, peer_client::members_done done) = 0;
     virtual void acquire_quota(const quota_request& /*request*/, peer_client::quota_done done)
     {
--- a/include/chestnutstand/transport/peer_client.h
+++ b/include/chestnutstand/transport/peer_client.h
@@ -45,9 +45,24 @@
     std::string payload;
 };
 
+/// What a node asks another one for.
+struct fetch_request {
+    /// Position of the sender's document.
+    std::uint64_t from_offset = 0;
+    /// Whether the receiver shall read the source of the document first, because the sender cannot
+    /// reach it.
+    bool read_source = false;
+    /// Where to read the source: the offset after the last record that the sender has read, and the
+    /// era of the offset. 0 if it does not know one.
+    std::uint64_t source_offset = 0;
+    std::uint64_t source_era = 0;
+};
+
 struct fetched_changes {
     std::vector<change_record> records;
     bool starts_with_checkpoint = false;
+    /// Whether the receiver has read the source of the document as it was asked to.
+    bool source_read = false;
 };
 
 enum class quota_request_kind : std::uint8_t {
@@ -114,7 +129,7 @@
     /// The timeout bounds the time until the response begins; over HTTP, a large one may take a few
     /// seconds more to arrive.
     using changes_done = std::function<void(absl::StatusOr<fetched_changes>)>;
-    virtual void fetch_changes(const node_reference& target, std::uint64_t from_offset,
+    virtual void fetch_changes(const node_reference& target, const fetch_request& request,
                                milliseconds timeout, changes_done done) = 0;
 
     /// Exchanges serialized member states.
--- a/lib/config/config_service.cpp
+++ b/lib/config/config_service.cpp
@@ -254,7 +254,7 @@
         return;
     }
     fetching_ = true;
-    peers_.fetch_changes(newest->peer, replay_.next_offset(), options_.fetch_timeout,
+    peers_.fetch_changes(newest->peer, {replay_.next_offset()}, options_.fetch_timeout,
                          [this, used_hint = *newest](absl::StatusOr<fetched_changes> changes) {
                              loop_.post([this, used_hint, changes = std::move(changes)] {
                                  finish_fetch(used_hint, changes);
--- a/lib/config/record_follower.cpp
+++ b/lib/config/record_follower.cpp
@@ -21,7 +21,8 @@
 record_follower::record_follower(record_follower_options options, control_loop& loop,
                                  keyed_store& store, peer_client& peers, metrics& stats)
     : options_{options}, loop_{loop}, store_{store}, peers_{peers}, stats_{stats},
-      random_{options_.random_seed}, evacuations_{loop}
+      random_{options_.random_seed}, deputies_{options_.deputies, options_.random_seed},
+      evacuations_{loop}
 {
     evacuations_.on_rollback([this](std::uint64_t era) { on_rollback(era); });
 }
@@ -51,6 +52,9 @@
         log_event(log_level::info, "document reader role changed",
                   {{"role", std::string{reader_role_names.name(role)}}, {"version", version_}});
     }
+    if (role != reader_role::lead) {
+        deputies_.stop();
+    }
     if (!is_reader()) {
         return;
     }
@@ -64,7 +68,8 @@
 
 void record_follower::read()
 {
-    const bool needed = is_reader() || version_ == 0 || peer_fetch_failed_;
+    const bool needed =
+        is_reader() || version_ == 0 || peer_fetch_failed_ || !waiting_peers_.empty();
     if (reading_ || !needed) {
         return;
     }
@@ -73,16 +78,22 @@
     auto done = [this, number = ++read_number_](absl::StatusOr<keyed_page> page) {
         loop_.post([this, number, page = std::move(page)] { finish_read(number, page); });
     };
+    expect_lead_response();
     if (next_offset_) {
-        const bool is_standby = role_ == reader_role::standby;
-        store_.follow(store_topic::document, *next_offset_,
-                      is_standby ? options_.standby_read_wait : options_.lead_read_wait,
-                      std::move(done));
+        store_.follow(store_topic::document, *next_offset_, poll_wait(), std::move(done));
         return;
     }
     store_.newest(store_topic::document, std::move(done));
 }
 
+milliseconds record_follower::poll_wait() const
+{
+    if (!waiting_peers_.empty()) {
+        return options_.deputy_read_wait;
+    }
+    return is_standby() ? options_.standby_read_wait : options_.lead_read_wait;
+}
+
 void record_follower::finish_read(std::uint64_t number, const absl::StatusOr<keyed_page>& page)
 {
     if (number != read_number_) {
@@ -98,6 +109,7 @@
         return;
     }
     progress_ = {ms_clock::now(), std::nullopt};
+    deputies_.stop();
     count_read(page->records.empty() ? read_end::unchanged : read_end::changed);
     backoff_ = milliseconds{0};
     peer_fetch_failed_ = false;
@@ -113,6 +125,9 @@
     }
     next_offset_ = page->next;
     offset_era_ = page->era;
+    known_offset_ = page->next;
+    known_era_ = page->era;
+    answer_waiting_peers(absl::OkStatus());
     is_listing ? evacuations_.observe_listing(*page) : evacuations_.observe_records(*page);
     schedule_read(milliseconds{0});
 }
@@ -129,9 +144,12 @@
         schedule_read(milliseconds{0});
         return;
     }
-    const bool is_standby = role_ == reader_role::standby;
+    answer_waiting_peers(status);
+    if (!records_expired_) {
+        search_deputy();
+    }
     backoff_ = std::clamp(backoff_ * 2.0, options_.initial_backoff,
-                          is_standby ? options_.max_standby_backoff : options_.max_lead_backoff);
+                          is_standby() ? options_.max_standby_backoff : options_.max_lead_backoff);
     std::uniform_real_distribution<double> jitter{0.5, 1.0};
     schedule_read(backoff_ * jitter(random_));
 }
@@ -311,7 +329,7 @@
     const node_reference peer = hints_.back().peer;
     hints_.pop_back();
     peers_.fetch_changes(
-        peer, version_, options_.fetch_timeout,
+        peer, {version_}, options_.fetch_timeout,
         [this, peer, started = ms_clock::now()](absl::StatusOr<fetched_changes> changes) {
             const milliseconds took = ms_clock::now() - started;
             loop_.post([this, peer, took, changes = std::move(changes)] {
@@ -363,7 +381,7 @@
         return;
     }
     evacuations_fetched_at_ = now;
-    peers_.fetch_changes(peer, version_, options_.fetch_timeout,
+    peers_.fetch_changes(peer, {version_}, options_.fetch_timeout,
                          [this](absl::StatusOr<fetched_changes> changes) {
                              loop_.post([this, changes = std::move(changes)] {
                                  if (changes.ok()) {
--- a/lib/node/components/membership_component.cpp
+++ b/lib/node/components/membership_component.cpp
@@ -12,6 +12,7 @@
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace chestnutstand {
 namespace {
@@ -108,6 +109,17 @@
                                                                             : reader_role::none;
     }
 
+    std::vector<deputy_candidate> list_live_peers(kernel& node) const
+    {
+        std::vector<deputy_candidate> peers;
+        for (const member& peer : members_->members()) {
+            if (peer.state == liveness::alive && peer.node.instance != node.instance()) {
+                peers.push_back({peer.node, peer.data_centre == node.config().data_centre});
+            }
+        }
+        return peers;
+    }
+
     void connect_configuration(kernel& node)
     {
         node.control().repeat(role_check_interval, [this, &node] {
@@ -115,6 +127,7 @@
         });
         auto& config = node.get<configuration>();
         config.on_advance([this](std::uint64_t next) { members_->set_config_next_offset(next); });
+        config.set_deputy_candidates([this, &node] { return list_live_peers(node); });
         members_->on_config_hint(
             [&config](const node_reference& peer, std::uint64_t next) { config.hint(peer, next); });
     }
--- a/lib/node/components/node_endpoint_component.cpp
+++ b/lib/node/components/node_endpoint_component.cpp
@@ -49,10 +49,15 @@
 
     load_report probe() override { return executor_.report(); }
 
-    void fetch_changes(std::uint64_t from_offset, peer_client::changes_done done) override
+    void fetch_changes(const fetch_request& request, peer_client::changes_done done) override
     {
-        node_.control().post([this, from_offset, done = std::move(done)] {
-            done(node_.get<configuration>().handle_fetch(from_offset));
+        node_.control().post([this, request, done = std::move(done)] {
+            auto& config = node_.get<configuration>();
+            if (request.read_source) {
+                config.handle_source_fetch(request, done);
+                return;
+            }
+            done(config.handle_fetch(request.from_offset));
         });
     }
 
--- a/lib/transport/grpc_node_server.cpp
+++ b/lib/transport/grpc_node_server.cpp
@@ -99,7 +99,7 @@
                                            wire::FetchChangesReply* reply) override
     {
         auto* reactor = context->DefaultReactor();
-        handler_.fetch_changes(request->from_offset(),
+        handler_.fetch_changes(from_wire(*request),
                                [reactor, reply](const absl::StatusOr<fetched_changes>& changes) {
                                    if (changes.ok()) {
                                        *reply = to_wire(*changes);
--- a/lib/transport/grpc_peer_client.cpp
+++ b/lib/transport/grpc_peer_client.cpp
@@ -116,12 +116,12 @@
             on_reply(state, std::move(done), [](const auto& reply) { return from_wire(reply); }));
     }
 
-    void fetch_changes(const node_reference& target, std::uint64_t from_offset,
+    void fetch_changes(const node_reference& target, const fetch_request& request,
                        milliseconds timeout, changes_done done) override
     {
         auto state =
             std::make_shared<unary_call<wire::FetchChangesRequest, wire::FetchChangesReply>>();
-        state->request.set_from_offset(from_offset);
+        state->request = to_wire(request);
         state->context.set_deadline(system_deadline(timeout));
         stub_of(target)->async()->FetchChanges(
             &state->context, &state->request, &state->reply,
--- a/lib/transport/http_node_server.cpp
+++ b/lib/transport/http_node_server.cpp
@@ -154,7 +154,7 @@
     {
         wire::FetchChangesRequest message;
         if (parse_body(request, response, message)) {
-            handler_.fetch_changes(message.from_offset(),
+            handler_.fetch_changes(from_wire(message),
                                    make_reply_callback<fetched_changes>(response));
         }
     }
--- a/lib/transport/http_peer_client.cpp
+++ b/lib/transport/http_peer_client.cpp
@@ -121,12 +121,10 @@
                                 std::move(done));
     }
 
-    void fetch_changes(const node_reference& target, std::uint64_t from_offset,
+    void fetch_changes(const node_reference& target, const fetch_request& request,
                        milliseconds timeout, changes_done done) override
     {
-        wire::FetchChangesRequest request;
-        request.set_from_offset(from_offset);
-        http_request http_message = make_request(node_path::changes, request);
+        http_request http_message = make_request(node_path::changes, to_wire(request));
         http_message.response_start_timeout = timeout;
         query<wire::FetchChangesReply>(target, std::move(http_message),
                                        timeout + max_changes_transfer, std::move(done));
--- a/lib/transport/wire_convert.cpp
+++ b/lib/transport/wire_convert.cpp
@@ -247,6 +247,22 @@
     return result;
 }
 
+wire::FetchChangesRequest to_wire(const fetch_request& request)
+{
+    wire::FetchChangesRequest message;
+    message.set_from_offset(request.from_offset);
+    message.set_read_source(request.read_source);
+    message.set_source_offset(request.source_offset);
+    message.set_source_era(request.source_era);
+    return message;
+}
+
+fetch_request from_wire(const wire::FetchChangesRequest& message)
+{
+    return {message.from_offset(), message.read_source(), message.source_offset(),
+            message.source_era()};
+}
+
 wire::FetchChangesReply to_wire(const fetched_changes& changes)
 {
     wire::FetchChangesReply reply;
@@ -256,6 +272,7 @@
         added->set_payload(record.payload);
     }
     reply.set_starts_with_checkpoint(changes.starts_with_checkpoint);
+    reply.set_source_read(changes.source_read);
     return reply;
 }
 
@@ -266,6 +283,7 @@
         changes.records.push_back({record.offset(), record.payload()});
     }
     changes.starts_with_checkpoint = reply.starts_with_checkpoint();
+    changes.source_read = reply.source_read();
     return changes;
 }
 
--- a/lib/transport/wire_convert.h
+++ b/lib/transport/wire_convert.h
@@ -24,6 +24,8 @@
 wire::SettleReply to_wire(const settle_result& result);
 settle_result from_wire(const wire::SettleReply& reply);
 
+wire::FetchChangesRequest to_wire(const fetch_request& request);
+fetch_request from_wire(const wire::FetchChangesRequest& message);
 wire::FetchChangesReply to_wire(const fetched_changes& changes);
 fetched_changes from_wire(const wire::FetchChangesReply& reply);
 
--- a/unittests/config/fakes.h
+++ b/unittests/config/fakes.h
@@ -108,19 +108,22 @@
                       members_done) override
     {
     }
-    void fetch_changes(const node_reference& target, std::uint64_t from_offset, milliseconds,
+    void fetch_changes(const node_reference& target, const fetch_request& request, milliseconds,
                        changes_done done) override
     {
         fetch_handler handler;
         {
             const std::lock_guard lock{mutex_};
             handler = handlers_[target.instance];
+            if (request.read_source) {
+                source_requests_.push_back(request);
+            }
         }
         if (!handler) {
             done(absl::UnavailableError("no such peer"));
             return;
         }
-        handler(from_offset, std::move(done));
+        handler(request.from_offset, std::move(done));
     }
 
     void add(std::uint64_t instance, fetch_handler handler)
@@ -129,9 +132,17 @@
         handlers_[instance] = std::move(handler);
     }
 
+    /// Requests to read the source that peers have got.
+    std::vector<fetch_request> source_requests()
+    {
+        const std::lock_guard lock{mutex_};
+        return source_requests_;
+    }
+
 private:
     std::mutex mutex_;
     std::map<std::uint64_t, fetch_handler> handlers_;
+    std::vector<fetch_request> source_requests_;
 };
 
 /// Waits until a condition holds; returns false when it does not within 30 s.
--- a/unittests/config/record_follower_test.cpp
+++ b/unittests/config/record_follower_test.cpp
@@ -9,6 +9,8 @@
 #include <chrono>
 #include <condition_variable>
 #include <deque>
+#include <future>
+#include <memory>
 #include <mutex>
 #include <set>
 
@@ -423,5 +425,111 @@
     EXPECT_EQ(store_.pending_reads(), 0U);
 }
 
+// Guards against a change that no node learns of because the store turns the readers away and
+// serves only nodes that do not read it.
+TEST_F(record_follower_test, lead_asks_other_nodes_when_it_cannot_read)
+{
+    complete_newest_read(3, 5);
+    peers_.add(2, [](std::uint64_t, const peer_client::changes_done& done) {
+        done(fetched_changes{{{0, record_of(4)}}, false, true});
+    });
+    on_control([&] {
+        follower_->set_deputy_candidates([] {
+            return std::vector<deputy_candidate>{{{2, "127.0.0.1", 1}, true}};
+        });
+    });
+    store_.next().done(absl::UnavailableError("refused"));
+    EXPECT_TRUE(eventually([&] { return version() == 4U; }));
+    EXPECT_EQ(peers_.source_requests().front().from_offset, 3U);
+    EXPECT_EQ(peers_.source_requests().front().source_offset, 5U);
+}
+
+// Guards against a search that starts only when a lost response has timed out, later than a change
+// has to be in force.
+TEST_F(record_follower_test, lead_asks_other_nodes_when_a_response_is_overdue)
+{
+    peers_.add(2, [](std::uint64_t, const peer_client::changes_done& done) {
+        done(fetched_changes{{{0, record_of(4)}}, false, true});
+    });
+    on_control([&] {
+        follower_->set_deputy_candidates([] {
+            return std::vector<deputy_candidate>{{{2, "127.0.0.1", 1}, true}};
+        });
+    });
+    complete_newest_read(3, 5);
+    const auto lost = store_.next();
+    EXPECT_TRUE(eventually([&] { return version() == 4U; }));
+}
+
+/// Response to a peer that asks a follower to read the store.
+std::future<absl::StatusOr<fetched_changes>> ask(record_follower& follower, control_loop& loop,
+                                                 const fetch_request& request)
+{
+    auto answer = std::make_shared<std::promise<absl::StatusOr<fetched_changes>>>();
+    loop.post([&follower, answer, request] {
+        follower.handle_source_fetch(request,
+                                     [answer](const auto& changes) { answer->set_value(changes); });
+    });
+    return answer->get_future();
+}
+
+// Guards against a node that is asked to read the store and answers with what it has, or stops
+// following the store while it is asked.
+TEST_F(record_follower_test, reads_the_store_for_a_peer)
+{
+    on_control([&] { follower_->set_reader_role(reader_role::none); });
+    complete_newest_read(3, 5);
+    run_posted_tasks();
+    auto answer = ask(*follower_, loop_, {3, true, 7, 0});
+    const auto read = store_.next();
+    EXPECT_EQ(read.from, 7U);
+    read.done(keyed_page{{{"k", record_of(4), 7}}, 8});
+    const auto changes = answer.get();
+    ASSERT_TRUE(changes.ok());
+    EXPECT_TRUE(changes->source_read);
+    ASSERT_EQ(changes->records.size(), 1U);
+    EXPECT_EQ(changes->records.front().payload, record_of(4));
+    EXPECT_EQ(store_.next().from, 8U);
+    EXPECT_TRUE(ask(*follower_, loop_, {4, true, 8, 0}).get()->source_read);
+}
+
+// Guards against a deputy that misses a document because its reader has read further.
+TEST_F(record_follower_test, does_not_skip_records_that_only_the_reader_has_read)
+{
+    on_control([&] { follower_->set_reader_role(reader_role::none); });
+    complete_newest_read(3, 5);
+    run_posted_tasks();
+    ask(*follower_, loop_, {6, true, 9, 0});
+    EXPECT_TRUE(store_.next().newest);
+}
+
+// Guards against calls of a store that turns the deputy away as well.
+TEST_F(record_follower_test, reads_once_for_a_peer_when_the_store_turns_it_away)
+{
+    on_control([&] { follower_->set_reader_role(reader_role::none); });
+    complete_newest_read(3, 5);
+    run_posted_tasks();
+    auto answer = ask(*follower_, loop_, {3, true, 5, 0});
+    store_.next().done(absl::UnavailableError("refused"));
+    EXPECT_FALSE(answer.get().ok());
+    run_posted_tasks();
+    std::this_thread::sleep_for(std::chrono::milliseconds{20});
+    run_posted_tasks();
+    EXPECT_EQ(store_.pending_reads(), 0U);
+}
+
+// Guards against a standby whose long poll keeps a peer waiting.
+TEST_F(record_follower_test, standby_shortens_its_poll_for_a_peer)
+{
+    on_control([&] { follower_->set_reader_role(reader_role::standby); });
+    complete_newest_read(3, 5);
+    const auto long_poll = store_.next();
+    auto answer = ask(*follower_, loop_, {3, true, 5, 0});
+    const auto short_poll = store_.next();
+    EXPECT_LT(short_poll.wait, milliseconds{500});
+    short_poll.done(keyed_page{{}, 5});
+    EXPECT_TRUE(answer.get()->source_read);
+}
+
 } // namespace
 } // namespace chestnutstand
--- a/unittests/keys/key_simulation_links.h
+++ b/unittests/keys/key_simulation_links.h
@@ -42,7 +42,10 @@
     void settle(const node_reference& executor, const std::string& key, milliseconds timeout,
                 settle_done done) override;
     void probe(const node_reference&, milliseconds, probe_done) override {}
-    void fetch_changes(const node_reference&, std::uint64_t, milliseconds, changes_done) override {}
+    void fetch_changes(const node_reference&, const fetch_request&, milliseconds,
+                       changes_done) override
+    {
+    }
     void sync_members(const node_reference&, std::vector<std::string>, milliseconds,
                       members_done) override
     {
--- a/unittests/membership/membership_test.cpp
+++ b/unittests/membership/membership_test.cpp
@@ -167,7 +167,7 @@
     {
         done(absl::UnimplementedError(""));
     }
-    void fetch_changes(const node_reference& /*target*/, std::uint64_t /*from_offset*/,
+    void fetch_changes(const node_reference& /*target*/, const fetch_request& /*request*/,
                        milliseconds /*timeout*/, changes_done done) override
     {
         done(absl::UnimplementedError(""));
--- a/unittests/node/dispatcher_fixture.h
+++ b/unittests/node/dispatcher_fixture.h
@@ -22,7 +22,8 @@
                 (const node_reference&, const std::string&, milliseconds, settle_done), (override));
     MOCK_METHOD(void, probe, (const node_reference&, milliseconds, probe_done), (override));
     MOCK_METHOD(void, fetch_changes,
-                (const node_reference&, std::uint64_t, milliseconds, changes_done), (override));
+                (const node_reference&, const fetch_request&, milliseconds, changes_done),
+                (override));
     MOCK_METHOD(void, sync_members,
                 (const node_reference&, std::vector<std::string>, milliseconds, members_done),
                 (override));
--- a/unittests/replay/model_network.h
+++ b/unittests/replay/model_network.h
@@ -59,7 +59,7 @@
                 milliseconds /*timeout*/, settle_done /*done*/) override
     {
     }
-    void fetch_changes(const node_reference& /*target*/, std::uint64_t /*from_offset*/,
+    void fetch_changes(const node_reference& /*target*/, const fetch_request& /*request*/,
                        milliseconds /*timeout*/, changes_done /*done*/) override
     {
     }
--- a/unittests/transport/node_server_test.cpp
+++ b/unittests/transport/node_server_test.cpp
@@ -54,7 +54,7 @@
         return result;
     }
     load_report probe() override { return {}; }
-    void fetch_changes(std::uint64_t, peer_client::changes_done done) override
+    void fetch_changes(const fetch_request&, peer_client::changes_done done) override
     {
         done(fetched_changes{});
     }
@@ -280,7 +280,7 @@
     auto http = make_http_client();
     const auto peers = make_http_peer_client(*http);
     std::promise<absl::StatusOr<fetched_changes>> fetched;
-    peers->fetch_changes({instance, "127.0.0.1", listener.port()}, 0, start_limit,
+    peers->fetch_changes({instance, "127.0.0.1", listener.port()}, {}, start_limit,
                          [&](const auto& changes) { fetched.set_value(changes); });
     const auto changes = fetched.get_future().get();
     http.reset();
