Keep the pause between failed reads of a reader

Cause: a node decides on its role every 250 ms, and each decision for a reader started a read if none was waiting, also if the role was the same.

Evidence: record_follower.keeps_its_pause_while_its_role_is_set_again failed before (one further read) and passes now.

--- a/lib/config/record_follower.cpp
+++ b/lib/config/record_follower.cpp
@@ -58,13 +58,14 @@
     if (role != reader_role::lead) {
         deputies_.stop();
     }
-    if (!is_reader()) {
+    // The role is set again and again; the pause after a failed read goes on.
+    if (!is_reader() || previous == role) {
         return;
     }
     if (!reading_) {
         read();
     }
-    else if (role == reader_role::lead && previous != reader_role::lead && next_offset_) {
+    else if (role == reader_role::lead && next_offset_) {
         replace_read("the node became the lead reader");
     }
 }
--- a/unittests/config/record_follower_test.cpp
+++ b/unittests/config/record_follower_test.cpp
@@ -531,5 +531,32 @@
     EXPECT_TRUE(answer.get()->source_read);
 }
 
+// Guards against a reader that calls a store that is down whenever its role is checked.
+TEST(record_follower, keeps_its_pause_while_its_role_is_set_again)
+{
+    fake_store store;
+    fake_peers peers;
+    metrics stats;
+    control_loop loop;
+    record_follower_options options;
+    options.initial_backoff = milliseconds{3'600'000};
+    options.max_lead_backoff = options.initial_backoff;
+    record_follower follower{options, loop, store, peers, stats};
+    const auto set_role = [&] {
+        std::promise<void> ran;
+        loop.post([&] {
+            follower.set_reader_role(reader_role::lead);
+            ran.set_value();
+        });
+        ran.get_future().wait();
+    };
+    set_role();
+    store.next().done(absl::UnavailableError("down"));
+    set_role();
+    set_role();
+    EXPECT_EQ(store.pending_reads(), 0U);
+    loop.stop();
+}
+
 } // namespace
 } // namespace chestnutstand
