--- a/tests/integration/memory_crowd_test.cpp
+++ b/tests/integration/memory_crowd_test.cpp
@@ -3,43 +3,7 @@
 namespace chestnutstand::testing {
 namespace {
 
-class memory_crowd : public memory_path {
-protected:
-    /// Sends the message on all connections of the crowd, without its last part on most of them.
-    void send_mostly_incomplete(crowd& sent, std::uint16_t port, const crowd_message& message)
-    {
-        for (int i = 0; i < crowd_size; ++i) {
-            crowd_message own = message;
-            if (i >= complete_in_crowd) {
-                own.last.clear();
-            }
-            ASSERT_TRUE(sent.add(port, own));
-        }
-        sent.send_all();
-    }
-
-    static crowd_message body_with_length(std::string_view target)
-    {
-        return {head("POST", target, max_body_mb * mib), filler(), max_body_mb * mib - 1, "x"};
-    }
-
-    static crowd_message body_in_large_chunks(std::string_view target)
-    {
-        const std::string chunk = large_chunk();
-        return {chunked_head(target), chunk, chunk.size() * 16 * max_body_mb, "0\r\n\r\n"};
-    }
-
-    static crowd_message body_in_small_chunks(std::string_view target)
-    {
-        constexpr std::size_t chunks = std::size_t{1} << 20U;
-        constexpr std::string_view chunk = "1\r\nx\r\n";
-        std::string block;
-        while (block.size() < 65'536) {
-            block += chunk;
-        }
-        return {chunked_head(target), block, chunks * chunk.size(), "0\r\n\r\n"};
-    }
-};
+using memory_crowd = crowd_path;
 
 // Guards against callers that end the entry node with request bodies of a permitted size, most of
 // which stay incomplete while their connections are open.
--- a/tests/support/memory_fixture.h
+++ b/tests/support/memory_fixture.h
@@ -137,18 +137,27 @@
     std::thread acceptor_;
 };
 
+/// Limits of the nodes of a memory_path, and the bounds that hold after a crowd. By default those
+/// of the smallest machine that a node runs on.
+struct memory_path_limits {
+    std::size_t memory_limit_mb = 160;
+    std::size_t max_body_mb = 20;
+    std::size_t max_descriptors = 300;
+};
+
 /// An entry node without an upstream and an executing node beside an upstream that takes large
-/// bodies, both with the memory of the smallest machine that a node runs on.
+/// bodies.
 class memory_path : public ::testing::Test {
 protected:
-    static constexpr std::size_t memory_limit_mb = 160;
-    static constexpr std::size_t max_body_mb = 20;
-    static constexpr std::size_t max_descriptors = 300;
     static constexpr int crowd_size = 24;
     /// Connections of a crowd that complete their request.
     static constexpr int complete_in_crowd = 4;
 
-    memory_path() : store_{STUB_STORE_PROGRAM, {}} {}
+    explicit memory_path(const memory_path_limits& limits = {})
+        : memory_limit_mb{limits.memory_limit_mb}, max_body_mb{limits.max_body_mb},
+          max_descriptors{limits.max_descriptors}, store_{STUB_STORE_PROGRAM, {}}
+    {
+    }
 
     void SetUp() override
     {
@@ -244,6 +253,9 @@
         }
     }
 
+    const std::size_t memory_limit_mb;
+    const std::size_t max_body_mb;
+    const std::size_t max_descriptors;
     large_body_upstream upstream_;
     process store_;
     fleet fleet_;
@@ -253,4 +265,46 @@
     std::unique_ptr<registrar> registrar_;
 };
 
+/// Sends the requests of a crowd.
+class crowd_path : public memory_path {
+protected:
+    using memory_path::memory_path;
+
+    /// Sends the message on all connections of the crowd, without its last part on most of them.
+    void send_mostly_incomplete(crowd& sent, std::uint16_t port, const crowd_message& message,
+                                int clients = crowd_size)
+    {
+        for (int i = 0; i < clients; ++i) {
+            crowd_message own = message;
+            if (i >= complete_in_crowd) {
+                own.last.clear();
+            }
+            ASSERT_TRUE(sent.add(port, own));
+        }
+        sent.send_all();
+    }
+
+    crowd_message body_with_length(std::string_view target) const
+    {
+        return {head("POST", target, max_body_mb * mib), filler(), max_body_mb * mib - 1, "x"};
+    }
+
+    crowd_message body_in_large_chunks(std::string_view target) const
+    {
+        const std::string chunk = large_chunk();
+        return {chunked_head(target), chunk, chunk.size() * 16 * max_body_mb, "0\r\n\r\n"};
+    }
+
+    static crowd_message body_in_small_chunks(std::string_view target)
+    {
+        constexpr std::size_t chunks = std::size_t{1} << 20U;
+        constexpr std::string_view chunk = "1\r\nx\r\n";
+        std::string block;
+        while (block.size() < 65'536) {
+            block += chunk;
+        }
+        return {chunked_head(target), block, chunks * chunk.size(), "0\r\n\r\n"};
+    }
+};
+
 } // namespace chestnutstand::testing
