Count the memory of buffers, not the bytes in them

Cause: the budget counted the bytes of a body.

A connection between two requests or two pieces of a chunked body keeps no buffer.

--- a/lib/transport/request_framer.cpp
+++ b/lib/transport/request_framer.cpp
@@ -154,8 +154,9 @@
 std::size_t request_framer::held_bytes() const
 {
     const std::size_t body =
-        head_ ? head_->body.size() + (head_->chunks ? head_->chunks->bytes().size() : 0) : 0;
-    return buffer_.size() + body;
+        head_ ? memory_of(head_->body) + (head_->chunks ? memory_of(head_->chunks->bytes()) : 0)
+              : 0;
+    return memory_of(buffer_) + body;
 }
 
 void request_framer::discard()
@@ -170,10 +171,21 @@
     if (!head_ || head_->chunks || std::exchange(head_->length_consumed, true)) {
         return std::nullopt;
     }
-    return head_->body_bytes - head_->body.size();
+    const std::size_t held = std::max(head_->body.size(), memory_of(head_->body));
+    return head_->body_bytes - std::min(head_->body_bytes, held);
 }
 
 framing_result request_framer::next()
+{
+    framing_result result = frame_next();
+    if (buffer_.empty()) {
+        // Many connections are idle or between two pieces of a body.
+        buffer_ = {};
+    }
+    return result;
+}
+
+framing_result request_framer::frame_next()
 {
     if (!head_) {
         if (auto refused = read_head()) {
--- a/lib/transport/request_framer.h
+++ b/lib/transport/request_framer.h
@@ -45,12 +45,14 @@
     bool empty() const { return buffer_.empty() && !head_; }
 
     std::size_t buffered() const { return buffer_.size(); }
-    /// Bytes held for the current request and for what follows it.
+    /// Memory held for the current request and for what follows it, unused parts of its buffers
+    /// included.
     std::size_t held_bytes() const;
     /// Drops all that has been received.
     void discard();
 
-    /// What is missing of the announced length of an incomplete body; once per request.
+    /// Memory that the rest of an incomplete body with an announced length will take; once per
+    /// request.
     std::optional<std::size_t> consume_announced_length();
 
 private:
@@ -69,6 +71,7 @@
     std::size_t add_to_body(std::string_view bytes);
     void move_buffer_to_body();
 
+    framing_result frame_next();
     std::optional<request_refusal> read_head();
     framing_result next_chunked();
     request_refusal body_too_large() const;
