Read from each connection in turns

Cause: Pistache reads from a connection until it is empty, which a client that sends as fast as the thread reads never lets it be.

The new test large_crowd.entry_answers_an_ordinary_caller_beside_very_small_chunks checks an answer only, no time, and holds before as well.

server_memory.serves_small_requests_while_large_ones_hold_memory took for granted that the large body had been read as a whole before the small requests. It now waits until it holds its memory, as its name says.

--- a/lib/transport/chunked_body.cpp
+++ b/lib/transport/chunked_body.cpp
@@ -37,7 +37,7 @@
             }
             break;
         }
-        const std::string line = buffer.substr(consumed, end - consumed);
+        const std::string_view line = std::string_view{buffer}.substr(consumed, end - consumed);
         consumed = end + line_end.size();
         if (state_ == state::size) {
             progress = read_size(line);
@@ -55,14 +55,14 @@
     return progress;
 }
 
-chunk_progress chunked_body::read_size(const std::string& line)
+chunk_progress chunked_body::read_size(std::string_view line)
 {
-    const std::string_view digits = std::string_view{line}.substr(0, line.find(';'));
+    const std::string_view digits = line.substr(0, line.find(';'));
     std::size_t size = 0;
     const auto [end, error] =
         std::from_chars(digits.data(), digits.data() + digits.size(), size, hexadecimal_base);
     if (digits.empty() || error != std::errc{} || end != digits.data() + digits.size() ||
-        line.find('\n') != std::string::npos) {
+        line.find('\n') != std::string_view::npos) {
         return chunk_progress::malformed;
     }
     if (size > max_bytes_ || bytes_.size() > max_bytes_ - size) {
@@ -73,7 +73,7 @@
     return chunk_progress::incomplete;
 }
 
-chunk_progress chunked_body::read_trailer(const std::string& line)
+chunk_progress chunked_body::read_trailer(std::string_view line)
 {
     trailer_bytes_ += line.size();
     if (trailer_bytes_ > max_trailer_bytes) {
--- a/lib/transport/chunked_body.h
+++ b/lib/transport/chunked_body.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 namespace chestnutstand {
 
@@ -29,8 +30,8 @@
 private:
     enum class state : std::uint8_t { size, data, data_end, trailer };
 
-    chunk_progress read_size(const std::string& line);
-    chunk_progress read_trailer(const std::string& line);
+    chunk_progress read_size(std::string_view line);
+    chunk_progress read_trailer(std::string_view line);
 
     std::size_t max_bytes_;
     state state_ = state::size;
--- a/lib/transport/http_connection.h
+++ b/lib/transport/http_connection.h
@@ -37,6 +37,9 @@
     void request_stop();
     bool stop_requested() const { return stopping_; }
 
+    /// Makes the owning thread look at its connections again.
+    void request_turn() const { wake(); }
+
     /// Makes the owning thread end a connection to free its memory.
     void request_end(std::size_t connection);
     std::vector<std::size_t> take_ended();
--- a/lib/transport/server_transport.cpp
+++ b/lib/transport/server_transport.cpp
@@ -72,13 +72,7 @@
     for (const auto& event : ready) {
         timer_fired = timer_fired || event.getTag() == tag_of(timer_);
     }
-    // No connection asks for writability while none is blocked.
-    if (blocked_writes_.empty()) {
-        tcp::Transport::onReady(ready);
-    }
-    else {
-        tcp::Transport::onReady(handle_writable(ready));
-    }
+    tcp::Transport::onReady(handle_connections(ready));
     // Only after Pistache has handled all of its events, which a write or a close could invalidate.
     if (timer_fired) {
         check_deadlines();
@@ -93,6 +87,10 @@
     if (queue_->stop_requested()) {
         close_all();
     }
+    // Only now, as taking the responses above has consumed what woke this thread.
+    if (!unread_.empty()) {
+        queue_->request_turn();
+    }
 }
 
 void server_transport::open(const peer_ptr& peer)
@@ -338,31 +336,6 @@
     finish_write(client, true);
 }
 
-Pistache::Aio::FdSet server_transport::handle_writable(const Pistache::Aio::FdSet& ready)
-{
-    std::vector<Pistache::Polling::Event> others;
-    others.reserve(ready.size());
-    std::vector<std::size_t> writable;
-    for (const auto& entry : ready) {
-        const auto blocked = blocked_writes_.find(static_cast<int>(entry.getTag().value()));
-        if (entry.isWritable() && blocked != blocked_writes_.end()) {
-            writable.push_back(blocked->second);
-        }
-        if (entry.isReadable() || entry.isHangup()) {
-            Pistache::Polling::Event other{entry.getTag()};
-            other.flags |= entry.isReadable() ? NotifyOn::Read : NotifyOn::None;
-            other.flags |= entry.isHangup() ? NotifyOn::Hangup : NotifyOn::None;
-            others.push_back(other);
-        }
-    }
-    for (const std::size_t id : writable) {
-        if (const auto found = connections_.find(id); found != connections_.end()) {
-            continue_write(found->second);
-        }
-    }
-    return Pistache::Aio::FdSet{std::move(others)};
-}
-
 void server_transport::finish_write(connection& client, bool complete)
 {
     client.writing = false;
--- a/lib/transport/server_transport.h
+++ b/lib/transport/server_transport.h
@@ -96,7 +96,8 @@
     server_transport& owner();
 };
 
-/// Pistache transport that writes to its connections only on its own thread, and by itself.
+/// Pistache transport that reads from and writes to its connections only on its own thread, and by
+/// itself. Pistache reads from a connection until that has sent nothing more.
 /// Pistache queues writes by descriptor, so that a queued one could reach a new connection that
 /// reuses the descriptor of a closed one, and it tries again without a pause, and copies what is
 /// left each time, while a connection takes no bytes.
@@ -149,8 +150,11 @@
     /// Sends what the connection takes now; the rest follows when it is ready for more.
     void continue_write(connection& client);
     void finish_write(connection& client, bool complete);
-    /// Continues the writes of the ready connections. Returns the other events.
-    Pistache::Aio::FdSet handle_writable(const Pistache::Aio::FdSet& ready);
+    /// Continues the writes of the ready connections, and reads from those that have sent. Returns
+    /// the other events.
+    Pistache::Aio::FdSet handle_connections(const Pistache::Aio::FdSet& ready);
+    /// Reads what a connection has sent, up to a limit.
+    void read_turn(std::size_t id);
     void wait_for_client(connection& client);
     /// Updates the count of busy connections after a change of the connection's requests or output.
     void update_busy(connection& client);
@@ -178,6 +182,8 @@
     std::map<std::size_t, connection> connections_;
     /// Connections, by their descriptors, that take no bytes at the moment.
     std::map<int, std::size_t> blocked_writes_;
+    /// Connections that may have sent more than was read in their last turn.
+    std::vector<std::size_t> unread_;
     /// Connections to close once the current events are handled.
     std::vector<std::size_t> pending_close_;
     int timer_ = -1;
--- a/tests/integration/large_crowd_test.cpp
+++ b/tests/integration/large_crowd_test.cpp
@@ -1,5 +1,9 @@
 #include "../support/memory_fixture.h"
 
+#include <atomic>
+#include <thread>
+#include <vector>
+
 namespace chestnutstand::testing {
 namespace {
 
@@ -7,6 +11,8 @@
 class large_crowd : public crowd_path {
 protected:
     static constexpr int clients = 300;
+    static constexpr int senders_at_once = 4;
+    static constexpr int ordinary_requests = 5;
 
     large_crowd() : crowd_path{{64, 4, 1'000}} {}
 };
@@ -92,5 +98,32 @@
     expect_unharmed();
 }
 
+// Guards against clients that keep the thread of all callers, as they send faster than it reads.
+TEST_F(large_crowd, entry_answers_an_ordinary_caller_beside_very_small_chunks)
+{
+    std::atomic<bool> stop = false;
+    std::vector<std::thread> senders;
+    for (int i = 0; i < senders_at_once; ++i) {
+        senders.emplace_back([&] {
+            while (!stop) {
+                crowd sent;
+                for (int each = 0; each < clients / senders_at_once; ++each) {
+                    sent.add(entry_->caller_port, body_in_small_chunks("/body"));
+                }
+                sent.send_while([&] { return !stop; });
+            }
+        });
+    }
+    ASSERT_TRUE(eventually([&] { return open_descriptors(*entry_->node) > clients; }));
+    for (int i = 0; i < ordinary_requests; ++i) {
+        EXPECT_TRUE(eventually([&] { return is_served(); }));
+    }
+    stop = true;
+    for (auto& sender : senders) {
+        sender.join();
+    }
+    expect_unharmed();
+}
+
 } // namespace
 } // namespace chestnutstand::testing
--- a/tests/support/crowd.cpp
+++ b/tests/support/crowd.cpp
@@ -77,10 +77,15 @@
 }
 
 void crowd::send_all()
+{
+    send_while([] { return true; });
+}
+
+void crowd::send_while(const std::function<bool()>& condition)
 {
     int idle_rounds = 0;
     bool all_ended = false;
-    while (!all_ended && idle_rounds < max_idle_rounds) {
+    while (!all_ended && idle_rounds < max_idle_rounds && condition()) {
         bool progress = false;
         all_ended = true;
         for (client& sender : clients_) {
--- a/tests/support/crowd.h
+++ b/tests/support/crowd.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -32,6 +33,8 @@
 
     /// Sends until no connection takes more bytes for a second, or all messages have been sent.
     void send_all();
+    /// Like send_all(), but only while the condition is true.
+    void send_while(const std::function<bool()>& condition);
 
     std::size_t size() const { return clients_.size(); }
 
--- a/unittests/transport/server_memory_test.cpp
+++ b/unittests/transport/server_memory_test.cpp
@@ -186,6 +186,7 @@
     start();
     const auto large = connect();
     ASSERT_TRUE(large.send(head(896 * kib) + std::string(895 * kib, 'x')));
+    wait_for_held(895 * kib);
     for (int i = 0; i < 10; ++i) {
         const auto small = connect();
         ASSERT_TRUE(small.send(head(32 * kib) + std::string(32 * kib, 'x')));
