Ask all nodes of a data centre in time for a served one

The store served one of 83 nodes.

Cause: a lead asked three nodes in a round with pauses that doubled at once, so that most nodes of its own data centre had not been asked after 2 s. It now asks four, every 250 ms for 1.75 s, and searches at once when it loses its deputy.

--- a/include/chestnutstand/config/configuration.h
+++ b/include/chestnutstand/config/configuration.h
@@ -83,7 +83,10 @@
     }
 
     /// Sets the function that lists the nodes that may be asked to read the source.
-    virtual void set_deputy_candidates(std::function<std::vector<deputy_candidate>()> /*list*/) {}
+    virtual void
+    set_deputy_candidates(const std::function<std::vector<deputy_candidate>()>& /*list*/)
+    {
+    }
 };
 
 } // namespace chestnutstand
--- a/include/chestnutstand/config/deputy_search.h
+++ b/include/chestnutstand/config/deputy_search.h
@@ -14,9 +14,10 @@
 
 struct deputy_search_options {
     /// Nodes asked at the same time. Bounds the calls of the source while nobody can reach it.
-    std::size_t asks_per_round = 3;
-    /// Time between two rounds; doubled with each round, up to the limit.
+    std::size_t asks_per_round = 4;
+    /// Time between the first rounds. After those it is doubled with each round, up to the limit.
     milliseconds initial_interval{250};
+    std::size_t first_rounds = 7;
     milliseconds max_interval{1'000};
     /// Time between two questions to a deputy.
     milliseconds renewal_interval{1'000};
@@ -58,6 +59,7 @@
     std::mt19937_64 random_;
     bool active_ = false;
     milliseconds interval_{0};
+    std::size_t rounds_ = 0;
     std::optional<node_reference> deputy_;
     /// Instances that have been asked without success.
     std::set<std::uint64_t> asked_;
--- a/include/chestnutstand/config/record_follower.h
+++ b/include/chestnutstand/config/record_follower.h
@@ -89,7 +89,7 @@
     fetched_changes handle_fetch(const fetch_request& request) const override;
     void handle_source_fetch(const fetch_request& request,
                              const peer_client::changes_done& done) override;
-    void set_deputy_candidates(std::function<std::vector<deputy_candidate>()> list) override;
+    void set_deputy_candidates(const std::function<std::vector<deputy_candidate>()>& list) override;
 
 private:
     bool is_deputy() const { return deputy_until_ && ms_clock::now() < *deputy_until_; }
--- a/lib/config/deputy_search.cpp
+++ b/lib/config/deputy_search.cpp
@@ -15,7 +15,7 @@
     if (std::exchange(active_, true)) {
         return false;
     }
-    interval_ = milliseconds{0};
+    rounds_ = 0;
     asked_.clear();
     return true;
 }
@@ -30,7 +30,9 @@
         }
         deputy_.reset();
     }
-    interval_ = std::clamp(interval_ * 2.0, options_.initial_interval, options_.max_interval);
+    interval_ = ++rounds_ <= options_.first_rounds
+                    ? options_.initial_interval
+                    : std::min(interval_ * 2.0, options_.max_interval);
     const auto was_asked = [this](const deputy_candidate& each) {
         return asked_.contains(each.node.instance);
     };
@@ -69,7 +71,7 @@
     }
     if (deputy_ == peer) {
         deputy_.reset();
-        interval_ = milliseconds{0};
+        rounds_ = 0;
         asked_ = {peer.instance};
     }
 }
--- a/lib/config/record_follower_deputy.cpp
+++ b/lib/config/record_follower_deputy.cpp
@@ -9,9 +9,10 @@
 
 namespace chestnutstand {
 
-void record_follower::set_deputy_candidates(std::function<std::vector<deputy_candidate>()> list)
+void record_follower::set_deputy_candidates(
+    const std::function<std::vector<deputy_candidate>()>& list)
 {
-    list_deputy_candidates_ = std::move(list);
+    list_deputy_candidates_ = list;
 }
 
 void record_follower::expect_lead_response()
@@ -71,6 +72,9 @@
                        : "deputy cannot read the document store",
                   {{"peer", peer.address}, {"version", version_}});
     }
+    if (before && !deputies_.deputy()) {
+        ask_deputies(++search_number_);
+    }
 }
 
 void record_follower::handle_source_fetch(const fetch_request& request,
--- a/tests/integration/refused_readers_test.cpp
+++ b/tests/integration/refused_readers_test.cpp
@@ -90,6 +90,7 @@
         }
         std::sort(order.begin(), order.end());
         std::vector<std::size_t> indices;
+        indices.reserve(order.size());
         for (const auto& [id, index] : order) {
             indices.push_back(index);
         }
